Small model first: its answer is kept or dropped for the largest model's by its confidence

Change: AnswerCascade weighs the chance of a good answer, its worth, the large model's cost and a price of engine time that rises while first tokens are late.

--- a/kernel/src/relay/RelayContext.h
+++ b/kernel/src/relay/RelayContext.h
@@ -3,6 +3,7 @@
 
 #include "site/SiteView.h"
 
+#include <decision/AnswerCascade.h>
 #include <decision/PoisonGuard.h>
 #include <decision/RetryWindow.h>
 #include <kernel/Site.h>
@@ -33,6 +34,7 @@
     UpstreamDesk &upstreams;
     PoisonGuard &poison;
     SlownessMeter &slowness;
+    AnswerCascade &cascade;
     std::map<std::string, RetryWindow> &retryWindows; ///< By service.
 };
 
--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -81,11 +81,41 @@
 {
     if (this->model.empty() && this->request.caller.anyModel
         && !this->request.route->modelsBySize.empty()) {
-        this->model = this->request.route->modelsBySize.back();
+        this->model = this->request.route->modelsBySize.front();
     }
     return this->model;
 }
 
+bool RelayRun::usesLargestModel() const
+{
+    const std::vector<std::string> &models = this->request.route->modelsBySize;
+    return !models.empty() && this->model == models.back();
+}
+
+bool RelayRun::dropsForLargeModel(const Attempt &attempt, const UpstreamHeaders &read)
+{
+    const Route &route = *this->request.route;
+    const bool possible = read.confidence && !attempt.model.empty() && !this->usesLargestModel()
+        && !this->stream.begun() && route.mayRunAgain() && this->sends < route.maxAttempts;
+    if (!possible) {
+        return false;
+    }
+    const CallerHeaders &caller = this->request.caller;
+    CascadeQuestion question;
+    question.route = route.name;
+    question.priority = route.priority;
+    question.promptTokens = caller.promptTokens;
+    question.uncachedTokens = this->want().ownTokens;
+    question.mostOutputTokens = caller.mostOutputTokens;
+    question.confidence = *read.confidence;
+    if (const EngineTraits *engine = this->request.engine()) {
+        const auto cost = engine->costByModel.find(route.modelsBySize.back());
+        question.costPerThousand = cost == engine->costByModel.end() ? 0 : cost->second;
+    }
+    return this->context.cascade.wantsLargeModel(question)
+        && this->retryWindow().take(this->request.view->liveInstances);
+}
+
 VersionFilter RelayRun::versions() const
 {
     const auto found = this->request.view->rollouts.find(this->request.service);
@@ -174,8 +204,13 @@
         if (end == AttemptEnd::Answered) {
             return;
         }
-        this->avoid.push_back(acquired.lease->upstream().id);
+        if (end != AttemptEnd::Dropped) {
+            this->avoid.push_back(acquired.lease->upstream().id);
+        }
         acquired.lease.reset();
+        if (end == AttemptEnd::Dropped) {
+            continue;
+        }
         if (!this->exchange.callerGone() && !this->mayTryAgain(end)) {
             this->giveUp(this->lastProblem);
             return;
@@ -313,6 +348,15 @@
         attempt.lease.setResult(AttemptResult::Failed);
         return AttemptEnd::MaybeRun;
     }
+    if (asStream && this->dropsForLargeModel(attempt, read)) {
+        answer.close();
+        attempt.lease.setResult(AttemptResult::Good);
+        this->reportAnswer(attempt, false, this->context.clock.now() - attempt.sentAt);
+        this->context.metrics.counter("answers_dropped_total").add();
+        this->model = this->request.route->modelsBySize.back();
+        this->lastProblem = "the small model was unsure";
+        return AttemptEnd::Dropped;
+    }
     return asStream ? this->relayStream(attempt, answer) : this->relayWhole(attempt, answer);
 }
 
@@ -333,6 +377,9 @@
             flowing = true;
             firstAt = this->context.clock.now();
             attempt.lease.onFirstByte();
+            if (this->usesLargestModel()) {
+                this->context.cascade.onLargeFirstToken(firstAt - attempt.sentAt, route.goal);
+            }
         });
     if (end == StreamEnd::CallerGone) {
         return AttemptEnd::Answered;
@@ -340,6 +387,7 @@
     if (end == StreamEnd::Complete) {
         attempt.lease.setResult(AttemptResult::Good);
         this->reportAnswer(attempt, false, firstAt - attempt.sentAt);
+        this->learnSize();
         this->logEnd(LogKind::Routine, "request answered", "", status::kOk);
         return AttemptEnd::Answered;
     }
@@ -353,6 +401,17 @@
     return AttemptEnd::MaybeRun;
 }
 
+void RelayRun::learnSize()
+{
+    const EngineTraits *engine = this->request.engine();
+    const CallerHeaders &caller = this->request.caller;
+    if (engine && !caller.lastEventId) {
+        const auto tokens = static_cast<int>(this->stream.events()) * engine->tokensPerEvent;
+        this->context.cascade.onAnswered(this->request.route->name, caller.promptTokens,
+                                         caller.mostOutputTokens, tokens);
+    }
+}
+
 RelayRun::AttemptEnd RelayRun::relayWhole(Attempt &attempt, HttpStream &answer)
 {
     absl::StatusOr<std::string> body = answer.readAll(this->timeLeft(), kMostAnswerBytes);
--- a/kernel/src/relay/RelayRun.h
+++ b/kernel/src/relay/RelayRun.h
@@ -27,6 +27,7 @@
         NotSent,  ///< No connection could be made.
         NotRun,   ///< The upstream says that it has not run the request.
         MaybeRun, ///< Sent, and no usable answer came.
+        Dropped,  ///< The small model was unsure: the large one shall answer.
         RanBadly, ///< The upstream ran it and answered with a failure of its own.
     };
 
@@ -42,13 +43,19 @@
 
     UpstreamWant want();
     VersionFilter versions() const;
+    /// The model to ask; empty when the caller has named one.
     const std::string &chooseModel();
+    bool usesLargestModel() const;
     Acquired acquire();
     AttemptEnd attempt(UpstreamLease &lease);
     AttemptEnd takeAnswer(Attempt &attempt, HttpStream &answer);
+    /// Whether the answer of a small model is dropped for the largest one's; draws on the budget.
+    bool dropsForLargeModel(const Attempt &attempt, const UpstreamHeaders &read);
     AttemptEnd relayStream(Attempt &attempt, HttpStream &answer);
     AttemptEnd relayWhole(Attempt &attempt, HttpStream &answer);
     AttemptEnd onNoAnswer(Attempt &attempt, const absl::Status &status);
+    /// Tells the cascade how long the answers of the route are.
+    void learnSize();
     void reportAnswer(const Attempt &attempt, bool failed, Duration took);
     void onCrash(const UpstreamRecord &upstream);
     /// Whether another upstream may be tried after `end`; draws on the retry budget.
--- a/kernel/src/relay/SiteTraffic.cpp
+++ b/kernel/src/relay/SiteTraffic.cpp
@@ -70,9 +70,11 @@
         : client(this->runtime, upstreamClientOptions())
         , desk(pickerOptions(settings), clock, hash64(settings.instance, 2))
         , poison({kCrashesToQuarantine, kCrashMemory}, clock)
-        , context{control,        adapter.dialect(), clock,      log,
-                  metrics,        this->client,      this->desk, this->poison,
-                  this->slowness, this->retryWindows}
+        , cascade({}, clock)
+        , context{control,       adapter.dialect(), clock,
+                  log,           metrics,           this->client,
+                  this->desk,    this->poison,      this->slowness,
+                  this->cascade, this->retryWindows}
         , relay(this->context)
         , directory(this->context, hash64(settings.instance, 3))
         , readiness(this->context)
@@ -121,6 +123,7 @@
     UpstreamDesk desk;
     PoisonGuard poison;
     SlownessMeter slowness;
+    AnswerCascade cascade;
     std::map<std::string, RetryWindow> retryWindows;
     RelayContext context;
     RelayHandler relay;
--- a/libs/decision/include/decision/RetryWindow.h
+++ b/libs/decision/include/decision/RetryWindow.h
@@ -15,7 +15,7 @@
     double slack = 20;  ///< Repeats beyond the ratio, all instances together.
     Duration window = std::chrono::seconds(10);
     /// Part of the allowance that is used: other instances count their windows from other moments.
-    double reserve = 0.7;
+    double reserve = 0.85;
 };
 
 /// One service, one thread. Invariant: in any window the repeats taken stay within
--- /dev/null
+++ b/libs/decision/src/AnswerCascade.cpp
@@ -0,0 +1,92 @@
+// The price follows lateness as in congestion control: it grows while first tokens are late and
+// falls while they are early or nobody asks.
+#include <decision/AnswerCascade.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace basilnotch {
+
+namespace {
+
+constexpr double kLatenessWeight = 0.2;              // Of the newest first token.
+constexpr double kSizeWeight = 0.05;                 // Of the newest answer.
+constexpr Duration kQuiet = std::chrono::seconds(1); // Without first tokens, engines count as idle.
+constexpr double kLongestStep = 1.0; // Seconds that one update of the price may stand for.
+
+} // namespace
+
+AnswerCascade::AnswerCascade(CascadeOptions options, const Clock &clock)
+    : options(std::move(options))
+    , clock(clock)
+    , currentPrice(this->options.lowestPrice)
+    , pricedAt(clock.now())
+{ }
+
+double AnswerCascade::goodChance(int confidence) const
+{
+    const double distance =
+        (confidence - this->options.confidenceMidpoint) / this->options.confidenceScale;
+    return 1 / (1 + std::exp(-distance));
+}
+
+double AnswerCascade::price()
+{
+    const TimePoint now = this->clock.now();
+    const double passed = std::min(toSeconds(now - this->pricedAt), kLongestStep);
+    this->pricedAt = now;
+    const double late = now - this->lateAt < kQuiet ? this->lateness : -1;
+    this->currentPrice =
+        std::clamp(this->currentPrice * std::exp(this->options.priceGain * late * passed),
+                   this->options.lowestPrice, this->options.highestPrice);
+    return this->currentPrice;
+}
+
+void AnswerCascade::onLargeFirstToken(Duration took, Duration goal)
+{
+    this->price(); // Up to now by the lateness before.
+    const double calm = std::max(this->options.calmPart * toSeconds(goal), 1e-3);
+    const double late = std::min(toSeconds(took) / calm - 1, this->options.mostLateness);
+    this->lateness += kLatenessWeight * (late - this->lateness);
+    this->lateAt = this->clock.now();
+}
+
+void AnswerCascade::onAnswered(const std::string &route, int promptTokens, int mostOutputTokens,
+                               int tokens)
+{
+    RouteSizes &sizes = this->routes[route];
+    const double size = promptTokens + this->options.sizePerToken * mostOutputTokens;
+    sizes.meanSize += (sizes.meanSize > 0 ? kSizeWeight : 1) * (size - sizes.meanSize);
+    if (mostOutputTokens > 0) {
+        const double part = std::min(1.0, static_cast<double>(tokens) / mostOutputTokens);
+        sizes.outputPart += kSizeWeight * (part - sizes.outputPart);
+    }
+}
+
+double AnswerCascade::worth(const CascadeQuestion &question, const RouteSizes &sizes) const
+{
+    const auto &worths = this->options.worthByPriority;
+    const auto rank = static_cast<std::size_t>(std::max(0, question.priority));
+    const double base = worths.empty() ? 1 : worths[std::min(rank, worths.size() - 1)];
+    const double size =
+        question.promptTokens + this->options.sizePerToken * question.mostOutputTokens;
+    const double relative = sizes.meanSize > 0 ? size / sizes.meanSize : 1;
+    const double fixed = this->options.fixedWorth;
+    return base * std::min(fixed + (1 - fixed) * relative, this->options.mostWorth);
+}
+
+bool AnswerCascade::wantsLargeModel(const CascadeQuestion &question)
+{
+    const RouteSizes &sizes = this->routes[question.route];
+    const double output = sizes.outputPart * question.mostOutputTokens;
+    const double gain = (1 - this->goodChance(question.confidence)) * (1 - this->options.poorCredit)
+        * this->worth(question, sizes);
+    constexpr double kReadPart = 0.25; // A prompt token costs a quarter of a token made.
+    constexpr double kThousand = 1000;
+    const double cost =
+        question.costPerThousand * (output + kReadPart * question.promptTokens) / kThousand;
+    const double work = question.uncachedTokens + this->options.workPerToken * output;
+    return gain > cost + this->price() * work;
+}
+
+} // namespace basilnotch
--- /dev/null
+++ b/libs/decision/tests/AnswerCascadeTest.cpp
@@ -0,0 +1,104 @@
+// When a small model's answer is dropped for the large model's: by confidence, by worth and by
+// load.
+#include <decision/AnswerCascade.h>
+
+#include <catch2/catch.hpp>
+
+using namespace basilnotch;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration kGoal = seconds(4);
+
+CascadeQuestion plan(int confidence)
+{
+    return {"plans", 0, 12'000, 6'600, 960, 0.26, confidence};
+}
+CascadeQuestion answer(int confidence)
+{
+    return {"answers", 1, 830, 630, 740, 0.26, confidence};
+}
+CascadeQuestion summary(int confidence)
+{
+    return {"summaries", 2, 2'400, 1'800, 60, 0.26, confidence};
+}
+
+/// First tokens of the large model that take `took`, five a second.
+void load(AnswerCascade &cascade, ManualClock &clock, Duration took, Duration length)
+{
+    for (Duration passed{}; passed < length; passed += milliseconds(200)) {
+        clock.advance(milliseconds(200));
+        cascade.onLargeFirstToken(took, kGoal);
+    }
+}
+
+} // namespace
+
+TEST_CASE("with idle engines an unsure answer is asked again, a sure one is kept")
+{
+    ManualClock clock;
+    AnswerCascade cascade({}, clock);
+    CHECK(cascade.wantsLargeModel(plan(20)));
+    CHECK(cascade.wantsLargeModel(answer(20)));
+    CHECK(cascade.wantsLargeModel(summary(10)));
+    CHECK_FALSE(cascade.wantsLargeModel(plan(100)));
+    CHECK_FALSE(cascade.wantsLargeModel(answer(90)));
+    CHECK_FALSE(cascade.wantsLargeModel(summary(70)));
+}
+
+TEST_CASE("a rush: what gains least for its work gives way first, the plans last")
+{
+    ManualClock clock;
+    AnswerCascade cascade({}, clock);
+    int summariesUntil = -1;
+    int answersUntil = -1;
+    int plansUntil = -1;
+    for (int step = 0; step < 60; ++step) {
+        load(cascade, clock, seconds(4), milliseconds(200));
+        summariesUntil = cascade.wantsLargeModel(summary(10)) ? step : summariesUntil;
+        answersUntil = cascade.wantsLargeModel(answer(10)) ? step : answersUntil;
+        plansUntil = cascade.wantsLargeModel(plan(10)) ? step : plansUntil;
+    }
+    CHECK(summariesUntil < answersUntil);
+    CHECK(answersUntil < plansUntil);
+    CHECK(plansUntil < 59);
+}
+
+TEST_CASE("after a rush the large model is used again within some seconds")
+{
+    ManualClock clock;
+    AnswerCascade cascade({}, clock);
+    load(cascade, clock, seconds(6), seconds(10));
+    CHECK_FALSE(cascade.wantsLargeModel(plan(10)));
+    load(cascade, clock, milliseconds(300), seconds(8));
+    CHECK(cascade.wantsLargeModel(plan(10)));
+}
+
+TEST_CASE("when nobody uses the large model any more, its price falls by itself")
+{
+    ManualClock clock;
+    AnswerCascade cascade({}, clock);
+    load(cascade, clock, seconds(6), seconds(10));
+    for (int step = 0; step < 100; ++step) {
+        clock.advance(milliseconds(100));
+        cascade.price();
+    }
+    CHECK(cascade.wantsLargeModel(answer(10)));
+}
+
+TEST_CASE("a large request of a route is worth more than a small one")
+{
+    ManualClock clock;
+    AnswerCascade cascade({}, clock);
+    for (int count = 0; count < 50; ++count) {
+        cascade.onAnswered("answers", 830, 740, 290);
+    }
+    CascadeQuestion small = answer(52);
+    small.mostOutputTokens = 10;
+    small.promptTokens = 8'000; // Long to read, little to gain.
+    small.uncachedTokens = 8'000;
+    CHECK_FALSE(cascade.wantsLargeModel(small));
+    CHECK(cascade.wantsLargeModel(answer(52)));
+}
--- a/libs/replica/tests/ReplicaTest.cpp
+++ b/libs/replica/tests/ReplicaTest.cpp
@@ -2,7 +2,7 @@
 #include <replica/Replica.h>
 
 #include <catch2/catch.hpp>
-#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
 
 #include <algorithm>
 
--- a/tools/standins/StandinServer.cpp
+++ b/tools/standins/StandinServer.cpp
@@ -11,7 +11,7 @@
 {
     HttpServerOptions options;
     options.listen = std::move(listen);
-    options.bodyBytes = 64 * 1024 * 1024;
+    options.bounds.bodyBytes = 64 * 1024 * 1024;
     return options;
 }
 
