Cascade: expected output from the caller's guess; no large model where it can't finish in time

Cause: long answers on the large model ran into their deadlines (16 s for 954 tokens at full batches).

--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -107,6 +107,8 @@
     question.promptTokens = caller.promptTokens;
     question.uncachedTokens = this->want().ownTokens;
     question.mostOutputTokens = caller.mostOutputTokens;
+    question.guessedOutputTokens = caller.guessedOutputTokens;
+    question.timeLeft = this->timeLeft();
     question.confidence = *read.confidence;
     if (const EngineTraits *engine = this->request.engine()) {
         const auto cost = engine->costByModel.find(route.modelsBySize.back());
@@ -387,7 +389,7 @@
     if (end == StreamEnd::Complete) {
         attempt.lease.setResult(AttemptResult::Good);
         this->reportAnswer(attempt, false, firstAt - attempt.sentAt);
-        this->learnSize();
+        this->learnSize(this->context.clock.now() - firstAt);
         this->logEnd(LogKind::Routine, "request answered", "", status::kOk);
         return AttemptEnd::Answered;
     }
@@ -401,7 +403,7 @@
     return AttemptEnd::MaybeRun;
 }
 
-void RelayRun::learnSize()
+void RelayRun::learnSize(Duration sinceFirst)
 {
     const EngineTraits *engine = this->request.engine();
     const CallerHeaders &caller = this->request.caller;
@@ -409,6 +411,9 @@
         const auto tokens = static_cast<int>(this->stream.events()) * engine->tokensPerEvent;
         this->context.cascade.onAnswered(this->request.route->name, caller.promptTokens,
                                          caller.mostOutputTokens, tokens);
+        if (this->usesLargestModel()) {
+            this->context.cascade.onLargeFinished(sinceFirst, tokens);
+        }
     }
 }
 
--- a/kernel/src/relay/RelayRun.h
+++ b/kernel/src/relay/RelayRun.h
@@ -54,8 +54,8 @@
     AttemptEnd relayStream(Attempt &attempt, HttpStream &answer);
     AttemptEnd relayWhole(Attempt &attempt, HttpStream &answer);
     AttemptEnd onNoAnswer(Attempt &attempt, const absl::Status &status);
-    /// Tells the cascade how long the answers of the route are.
-    void learnSize();
+    /// Tells the cascade how long the answers of the route are and how fast they come.
+    void learnSize(Duration sinceFirst);
     void reportAnswer(const Attempt &attempt, bool failed, Duration took);
     void onCrash(const UpstreamRecord &upstream);
     /// Whether another upstream may be tried after `end`; draws on the retry budget.
--- a/libs/decision/include/decision/AnswerCascade.h
+++ b/libs/decision/include/decision/AnswerCascade.h
@@ -36,6 +36,8 @@
     /// Part of a route's goal that the large model's first token may take before its time gets
     /// dearer.
     double calmPart = 0.3;
+    /// Part of the time left that the large model may be expected to need.
+    double timePart = 0.8;
     double lowestPrice = 1e-6;  ///< Worth of a unit of work while engines are idle.
     double highestPrice = 2e-3; ///< Above this nothing is worth the large model.
     /// Change of the logarithm of the price in a second, for each unit of relative lateness.
@@ -52,6 +54,8 @@
     int promptTokens = 0;
     int uncachedTokens = 0; ///< Prompt tokens that the large model must read.
     int mostOutputTokens = 0;
+    int guessedOutputTokens = 0; ///< The caller's estimate; 0 when it gives none.
+    Duration timeLeft{};         ///< Until the caller needs the whole answer.
     double costPerThousand = 0; ///< Of the large model, for 1,000 tokens made.
     int confidence = 0;         ///< 0 to 100.
 };
@@ -68,6 +72,8 @@
     void onAnswered(const std::string &route, int promptTokens, int mostOutputTokens, int tokens);
     /// A first token of the large model came after `took`.
     void onLargeFirstToken(Duration took, Duration goal);
+    /// The large model made `tokens` after its first one in `took`.
+    void onLargeFinished(Duration took, int tokens);
     /// Worth of one unit of work of the largest model now.
     double price();
     double goodChance(int confidence) const;
@@ -80,6 +86,9 @@
     };
     static constexpr double kFirstOutputPart = 0.4; ///< Until answers have been seen.
 
+    double expectedOutput(const CascadeQuestion &question, const RouteSizes &sizes) const;
+    /// How long the large model would take from now on.
+    Duration expectedTime(double output) const;
     double worth(const CascadeQuestion &question, const RouteSizes &sizes) const;
 
     const CascadeOptions options;
@@ -87,6 +96,8 @@
     std::map<std::string, RouteSizes> routes;
     double lateness = 0; ///< Moving mean of first-token times over the calm time, less 1.
     TimePoint lateAt{};
+    Duration firstToken{};    ///< Moving mean of the large model's.
+    Duration timePerToken{};  ///< Moving mean of the large model's.
     double currentPrice;
     TimePoint pricedAt{};
 };
--- a/libs/decision/src/AnswerCascade.cpp
+++ b/libs/decision/src/AnswerCascade.cpp
@@ -49,6 +49,36 @@
     const double late = std::min(toSeconds(took) / calm - 1, this->options.mostLateness);
     this->lateness += kLatenessWeight * (late - this->lateness);
     this->lateAt = this->clock.now();
+    this->firstToken += std::chrono::duration_cast<Duration>(kLatenessWeight
+                                                             * (took - this->firstToken));
+}
+
+void AnswerCascade::onLargeFinished(Duration took, int tokens)
+{
+    constexpr int kEnoughTokens = 12; // Fewer say little about the time of one.
+    if (tokens >= kEnoughTokens) {
+        const Duration each = took / tokens;
+        this->timePerToken += std::chrono::duration_cast<Duration>(kLatenessWeight
+                                                                   * (each - this->timePerToken));
+    }
+}
+
+double AnswerCascade::expectedOutput(const CascadeQuestion &question,
+                                     const RouteSizes &sizes) const
+{
+    const double usual = sizes.outputPart * question.mostOutputTokens;
+    if (question.guessedOutputTokens <= 0) {
+        return usual;
+    }
+    // The guess is right at its median but often far off; the mean of the route steadies it.
+    const double guess = std::min(question.guessedOutputTokens, question.mostOutputTokens);
+    return std::sqrt(std::max(guess, 1.0) * std::max(usual, 1.0));
+}
+
+Duration AnswerCascade::expectedTime(double output) const
+{
+    return this->firstToken
+        + std::chrono::duration_cast<Duration>(output * this->timePerToken);
 }
 
 void AnswerCascade::onAnswered(const std::string &route, int promptTokens, int mostOutputTokens,
@@ -78,7 +108,10 @@
 bool AnswerCascade::wantsLargeModel(const CascadeQuestion &question)
 {
     const RouteSizes &sizes = this->routes[question.route];
-    const double output = sizes.outputPart * question.mostOutputTokens;
+    const double output = this->expectedOutput(question, sizes);
+    if (this->expectedTime(output) > this->options.timePart * question.timeLeft) {
+        return false;
+    }
     const double gain = (1 - this->goodChance(question.confidence)) * (1 - this->options.poorCredit)
         * this->worth(question, sizes);
     constexpr double kReadPart = 0.25; // A prompt token costs a quarter of a token made.
--- a/libs/decision/tests/AnswerCascadeTest.cpp
+++ b/libs/decision/tests/AnswerCascadeTest.cpp
@@ -14,15 +14,15 @@
 
 CascadeQuestion plan(int confidence)
 {
-    return {"plans", 0, 12'000, 6'600, 960, 0.26, confidence};
+    return {"plans", 0, 12'000, 6'600, 960, 400, seconds(24), 0.26, confidence};
 }
 CascadeQuestion answer(int confidence)
 {
-    return {"answers", 1, 830, 630, 740, 0.26, confidence};
+    return {"answers", 1, 830, 630, 740, 0, seconds(19), 0.26, confidence};
 }
 CascadeQuestion summary(int confidence)
 {
-    return {"summaries", 2, 2'400, 1'800, 60, 0.26, confidence};
+    return {"summaries", 2, 2'400, 1'800, 60, 0, seconds(4), 0.26, confidence};
 }
 
 /// First tokens of the large model that take `took`, five a second.
@@ -88,6 +88,23 @@
     CHECK(cascade.wantsLargeModel(answer(10)));
 }
 
+TEST_CASE("an answer that the large model could not finish in time stays with the small one")
+{
+    ManualClock clock;
+    AnswerCascade cascade({}, clock);
+    for (int count = 0; count < 40; ++count) {
+        clock.advance(milliseconds(200));
+        cascade.onLargeFirstToken(milliseconds(500), kGoal);
+        cascade.onLargeFinished(seconds(6), 300); // 20 ms a token
+    }
+    CascadeQuestion longOne = answer(10);
+    longOne.mostOutputTokens = 2000;
+    longOne.guessedOutputTokens = 1500;
+    CHECK_FALSE(cascade.wantsLargeModel(longOne));
+    longOne.guessedOutputTokens = 200;
+    CHECK(cascade.wantsLargeModel(longOne));
+}
+
 TEST_CASE("a large request of a route is worth more than a small one")
 {
     ManualClock clock;
