--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -395,6 +395,12 @@
     }
     answer.close();
     const bool outOfTime = this->timeLeft() < kLeastUseful;
+    if (outOfTime && flowing && this->usesLargestModel() && this->request.engine()) {
+        // Without the slow ones that did not finish, the model would look faster than it is.
+        this->context.cascade.onLargeFinished(
+            this->context.clock.now() - firstAt,
+            static_cast<int>(this->stream.events()) * this->request.engine()->tokensPerEvent);
+    }
     this->lastProblem = outOfTime ? "out of time" : "the stream broke off";
     if (!outOfTime) {
         attempt.lease.setResult(AttemptResult::Failed);
