A few instances watch the servers for all; a stopping one takes nothing that it could not finish

Change: four instances (six of a large site) watch a table and gossip the changes; who is turned away by the store says so and is replaced. A stopping instance closes its listener after 2.5 s and asks the large model only for what ends before the stop.

--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -109,6 +109,9 @@
     question.mostOutputTokens = caller.mostOutputTokens;
     question.guessedOutputTokens = caller.guessedOutputTokens;
     question.timeLeft = this->timeLeft();
+    if (const auto stopsAt = this->context.control.view()->stopsAt) {
+        question.timeLeft = std::min(question.timeLeft, *stopsAt - this->context.clock.now());
+    }
     question.confidence = *read.confidence;
     if (const EngineTraits *engine = this->request.engine()) {
         const auto cost = engine->costByModel.find(route.modelsBySize.back());
@@ -397,9 +400,9 @@
     const bool outOfTime = this->timeLeft() < kLeastUseful;
     if (outOfTime && flowing && this->usesLargestModel() && this->request.engine()) {
         // Without the slow ones that did not finish, the model would look faster than it is.
-        this->context.cascade.onLargeFinished(
-            this->context.clock.now() - firstAt,
-            static_cast<int>(this->stream.events()) * this->request.engine()->tokensPerEvent);
+        this->context.cascade.onLargeFinished(this->context.clock.now() - firstAt,
+                                              static_cast<int>(this->stream.events())
+                                                  * this->request.engine()->tokensPerEvent);
     }
     this->lastProblem = outOfTime ? "out of time" : "the stream broke off";
     if (!outOfTime) {
--- a/kernel/src/site/RecordFeed.cpp
+++ b/kernel/src/site/RecordFeed.cpp
@@ -33,6 +33,15 @@
     , random(seed)
 {
     this->available.set();
+    for (const std::string &table : this->tables) {
+        this->watching[table].set();
+    }
+}
+
+void RecordFeed::setWatching(const std::string &table, bool watches)
+{
+    const FiberEvent &event = this->watching.at(table);
+    watches ? event.set() : event.reset();
 }
 
 void RecordFeed::start()
@@ -58,11 +67,17 @@
         if (!probes) {
             (void)this->available.waitFor(std::chrono::hours(1));
         }
+        if (after) {
+            (void)this->watching.at(table).waitFor(std::chrono::hours(1));
+        }
         const absl::StatusOr<RecordPage> page = this->fetch(table, after);
         if (page.ok()) {
             this->onAnswer(*page);
             (after ? this->listener.changes : this->listener.table)(table, *page);
             after = std::max(after.value_or(0), page->version);
+            if (!probes && !page->records.empty()) {
+                this->runtime.sleepFor(this->options.gather);
+            }
         } else if (absl::IsOutOfRange(page.status())) {
             this->log.write(LogKind::State, "store history gone",
                             {{"table", table}, {"after", static_cast<std::int64_t>(*after)}});
@@ -101,7 +116,7 @@
                         {{"awayMs", inMillis(now - this->lostAt)},
                          {"version", static_cast<std::int64_t>(page.version)}});
         this->available.set();
-        this->listener.storeReturned();
+        this->listener.access(true);
     }
 }
 
@@ -116,6 +131,7 @@
         this->available.reset();
         const std::string why = describe(status);
         this->log.write(LogKind::State, "store lost", {{"table", table}, {"why", why}});
+        this->listener.access(false);
     }
 }
 
--- a/kernel/src/site/RecordFeed.h
+++ b/kernel/src/site/RecordFeed.h
@@ -8,6 +8,7 @@
 #include <telemetry/Metrics.h>
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -23,6 +24,8 @@
     /// found by keep-alive probes.
     Duration watchWait = std::chrono::seconds(20);
     Duration firstRetry = std::chrono::milliseconds(120);
+    /// After a change, more of the same cause follow: one call takes them all.
+    Duration gather = std::chrono::milliseconds(300);
     Duration longestRetry =
         std::chrono::milliseconds(900); ///< Within the time that changes may take.
 };
@@ -34,7 +37,8 @@
     std::function<void(const std::string &table, const RecordPage &page)> table;
     /// Some records have changed.
     std::function<void(const std::string &table, const RecordPage &page)> changes;
-    std::function<void()> storeReturned;
+    /// The store has begun or ceased to answer.
+    std::function<void(bool answers)> access;
 };
 
 /// Control thread only.
@@ -47,6 +51,9 @@
 
     /// Starts one fiber for each table.
     void start();
+    /// Whether this instance watches `table` itself; else it hears of changes from its peers. Each
+    /// table is read once in any case.
+    void setWatching(const std::string &table, bool watching);
     bool storeAnswers() const { return this->failures == 0; }
     /// The store's clock now, as far as known; nothing before its first answer.
     std::optional<Duration> storeTime() const;
@@ -70,8 +77,9 @@
     Counter &calls;
     Counter &failedCalls;
     std::mt19937_64 random;
-    FiberEvent available; ///< Set while the store answers.
-    int failures = 0;     ///< In a row, over all tables.
+    FiberEvent available;                       ///< Set while the store answers.
+    std::map<std::string, FiberEvent> watching; ///< By table; set while it is watched.
+    int failures = 0;                           ///< In a row, over all tables.
     TimePoint lostAt{};
     TimePoint lastAnswer{};
     std::optional<Duration> clockOffset; ///< The store's clock less ours.
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -20,6 +20,11 @@
 /// A few rounds reach every instance well within the time that a change may take.
 constexpr Duration kGossipInterval = milliseconds(250);
 constexpr Duration kTickInterval = milliseconds(200);
+/// Up to so many instances, each watches the operators' table itself: that is the fastest way.
+constexpr int kSmallSite = 16;
+/// Instances that watch a table for all: a third of them may be turned away at one time.
+constexpr int kWatchersOfSmallSite = 4;
+constexpr int kWatchersOfLargeSite = 6;
 constexpr std::size_t kMostCrashes = 10'000; // Remembered, so that each is told once.
 
 Settings peerPart(const SiteSettings &site)
@@ -89,7 +94,7 @@
           {},
           {[this](const std::string &table, const RecordPage &page) { this->onTable(table, page); },
            [this](const std::string &, const RecordPage &page) { this->onChanges(page); },
-           [this] { this->presence.onStoreReturned(); }},
+           [this](bool answers) { this->onStoreAccess(answers); }},
           clock, log, metrics, hash64(this->incarnation, 1))
 {
     for (const Endpoint &seed : this->settings.seeds) {
@@ -144,6 +149,45 @@
     this->announced = written.ok();
 }
 
+void SiteControl::onStoreAccess(bool answers)
+{
+    if (answers) {
+        this->presence.onStoreReturned();
+    }
+    const auto version = firstMemberVersion(this->clock);
+    this->accessChanges = std::max(this->accessChanges + 1, version);
+    this->gossip.tell({{RumorKind::StoreAccess, this->settings.instance},
+                       this->accessChanges,
+                       answers ? "1" : "0"});
+    this->chooseWatches();
+}
+
+void SiteControl::chooseWatches()
+{
+    std::vector<std::string> candidates;
+    for (const Member &member : readMembers(this->gossip.store())) {
+        const Rumor *access = this->gossip.store().find({RumorKind::StoreAccess, member.name});
+        const bool turnedAway = access && access->payload == "0";
+        if (member.state == MemberState::Alive && !turnedAway) {
+            candidates.push_back(member.name);
+        }
+    }
+    const auto count = static_cast<int>(candidates.size());
+    std::vector<std::string> tables = this->adapter.codec().watchedTables();
+    const std::string operators = tables.front();
+    tables.emplace_back(kOwnTable);
+    for (const std::string &table : tables) {
+        const std::uint64_t own = hash64(this->settings.instance, hash64(table));
+        int before = 0;
+        for (const std::string &name : candidates) {
+            before += hash64(name, hash64(table)) > own ? 1 : 0;
+        }
+        const int most = count > kSmallSite ? kWatchersOfLargeSite : kWatchersOfSmallSite;
+        const bool all = count <= kSmallSite && table == operators;
+        this->feed.setWatching(table, all || before < most);
+    }
+}
+
 void SiteControl::onTable(const std::string &table, const RecordPage &page)
 {
     const std::vector<Record> changed = this->replica.mergeTable(table, page);
@@ -261,6 +305,7 @@
         this->announced = true; // One try at a time; announceSelf() says how it went.
         this->runtime.spawn([this] { this->announceSelf(); });
     }
+    this->chooseWatches();
     const bool expired = this->presence.expire();
     if (expired || this->rollouts.revision() != this->seenRollouts) {
         this->publish();
@@ -274,6 +319,7 @@
     next->upstreams = std::make_shared<const UpstreamList>(this->presence.list());
     next->rollouts = this->rollouts.rollouts(this->feed.storeTime());
     next->leaving = this->gossip.self().state == MemberState::Leaving;
+    next->stopsAt = this->stopsAt;
     next->bounds = this->settings.bounds;
     next->liveInstances = 0;
     for (const Member &member : readMembers(this->gossip.store())) {
@@ -316,9 +362,10 @@
         });
 }
 
-void SiteControl::leave()
+void SiteControl::leave(TimePoint deadline)
 {
-    this->runtime.post([this] {
+    this->runtime.post([this, deadline] {
+        this->stopsAt = deadline;
         this->gossip.leave();
         this->publish();
         this->peers.gossipRound();
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -48,8 +48,8 @@
     void onAnswer(AnswerReport report);
     /// An upstream crashed while it ran a request; tells the other instances.
     void onCrash(std::string fingerprint, std::string upstream);
-    /// Says to peers that this instance is about to stop.
-    void leave();
+    /// Says to peers that this instance is about to stop, at `stopsAt` at the latest.
+    void leave(TimePoint stopsAt);
     void applySettings(SiteSettings settings);
 
 private:
@@ -62,6 +62,9 @@
     void onChanges(const RecordPage &page);
     void onRumors();
     void announceSelf();
+    void onStoreAccess(bool answers);
+    /// Decides which tables this instance watches itself.
+    void chooseWatches();
     void tick();
     void publish();
 
@@ -91,6 +94,8 @@
     std::map<std::string, MemberState> seenMembers;
     std::set<std::string> knownCrashes;
     bool announced = false;
+    std::optional<TimePoint> stopsAt;
+    std::uint64_t accessChanges = 0; ///< Version of this instance's own StoreAccess rumor.
     std::thread thread;
 };
 
--- a/kernel/src/site/SiteProcess.cpp
+++ b/kernel/src/site/SiteProcess.cpp
@@ -19,9 +19,9 @@
 
 constexpr Duration kSettingsCheck = seconds(1); // Settings may change without a signal.
 constexpr Duration kDrainPoll = milliseconds(100);
-/// Callers may have asked for addresses just before; they keep an answer for up to three times its
-/// TTL.
-constexpr Duration kServeOn = milliseconds(3200);
+/// Callers may have asked for addresses just before and keep an answer for up to three times its
+/// TTL. What comes later than this could not be finished before the kill.
+constexpr Duration kServeOn = milliseconds(2500);
 constexpr Duration kKillReserve = milliseconds(500); ///< Ends by itself before it is killed.
 constexpr int kQuietPolls = 3;                       // The count of requests is told with a delay.
 
@@ -96,7 +96,7 @@
     {
         const TimePoint deadline =
             this->clock.now() + this->settings.bounds.stopGrace - kKillReserve;
-        this->control->leave();
+        this->control->leave(deadline);
         this->traffic->closeAfterAnswers();
         const auto sleepUntilQuiet = [&](TimePoint until) {
             int quiet = 0;
--- a/kernel/src/site/SiteView.h
+++ b/kernel/src/site/SiteView.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,7 @@
     std::vector<DirectoryEntry> directory;
     int liveInstances = 1; ///< This one included.
     bool leaving = false;
+    std::optional<TimePoint> stopsAt; ///< This process ends then, whatever is under way.
     SiteBounds bounds;
 
     bool takesWork() const { return this->catalog && !this->leaving; }
--- a/libs/membership/include/membership/Rumor.h
+++ b/libs/membership/include/membership/Rumor.h
@@ -12,6 +12,7 @@
 enum class RumorKind : std::uint8_t {
     Rules,           ///< Name "head"; the version is the rules version, the payload its digest.
     Record,          ///< A record of the platform's store; the version is the record's.
+    StoreAccess,     ///< An instance; whether the platform's store answers it.
     Member,          ///< An instance; see MemberTable.
     Hold,            ///< A roll-out that is held; the payload says why.
     Quarantine,      ///< Fingerprint of a request that crashes upstreams.
@@ -22,7 +23,7 @@
     Quality,         ///< An instance's rating counts.
     Usage,           ///< An instance's use of workspace budgets.
 };
-constexpr int kRumorKinds = 11;
+constexpr int kRumorKinds = 12;
 
 struct RumorId
 {
--- a/libs/runtime/src/SocketOptions.h
+++ b/libs/runtime/src/SocketOptions.h
@@ -12,9 +12,9 @@
 /// Bytes that stay unacknowledged so long break the connection: longer than a few retransmissions,
 /// shorter than what a caller waits for a first token.
 constexpr int kUserTimeoutMs = 3000;
-constexpr int kKeepAliveIdleSeconds = 3;     ///< Silence before the first keep-alive probe.
+constexpr int kKeepAliveIdleSeconds = 1;     ///< Silence before the first keep-alive probe.
 constexpr int kKeepAliveIntervalSeconds = 1; ///< Between two probes.
-constexpr int kKeepAliveProbes = 3;
+constexpr int kKeepAliveProbes = 2;          ///< Unanswered ones that break a connection.
 
 /// Best effort: an option that the system refuses is left out, the timeouts of calls still hold.
 inline void tuneSocket(boost::asio::ip::tcp::socket &socket)
