--- a/libs/decision/include/decision/AnswerCascade.h
+++ b/libs/decision/include/decision/AnswerCascade.h
@@ -20,6 +20,8 @@
     double confidenceMidpoint = 50;
     /// Spread of the logistic curve from confidence to the chance of a good answer.
     double confidenceScale = 8;
+    /// A smaller chance than this that the answer is poor is not worth a second run.
+    double leastDoubt = 0.03;
     /// Credit of an answer of a model that was too small for the request, as a part of the whole.
     double poorCredit = 0.05;
     /// Worth of a good answer of the mean size, by the rank of the route; later ranks take the
@@ -56,8 +58,8 @@
     int mostOutputTokens = 0;
     int guessedOutputTokens = 0; ///< The caller's estimate; 0 when it gives none.
     Duration timeLeft{};         ///< Until the caller needs the whole answer.
-    double costPerThousand = 0; ///< Of the large model, for 1,000 tokens made.
-    int confidence = 0;         ///< 0 to 100.
+    double costPerThousand = 0;  ///< Of the large model, for 1,000 tokens made.
+    int confidence = 0;          ///< 0 to 100.
 };
 
 /// One thread.
@@ -96,8 +98,8 @@
     std::map<std::string, RouteSizes> routes;
     double lateness = 0; ///< Moving mean of first-token times over the calm time, less 1.
     TimePoint lateAt{};
-    Duration firstToken{};    ///< Moving mean of the large model's.
-    Duration timePerToken{};  ///< Moving mean of the large model's.
+    Duration firstToken{};   ///< Moving mean of the large model's.
+    Duration timePerToken{}; ///< Moving mean of the large model's.
     double currentPrice;
     TimePoint pricedAt{};
 };
--- a/libs/decision/src/AnswerCascade.cpp
+++ b/libs/decision/src/AnswerCascade.cpp
@@ -49,8 +49,8 @@
     const double late = std::min(toSeconds(took) / calm - 1, this->options.mostLateness);
     this->lateness += kLatenessWeight * (late - this->lateness);
     this->lateAt = this->clock.now();
-    this->firstToken += std::chrono::duration_cast<Duration>(kLatenessWeight
-                                                             * (took - this->firstToken));
+    this->firstToken +=
+        std::chrono::duration_cast<Duration>(kLatenessWeight * (took - this->firstToken));
 }
 
 void AnswerCascade::onLargeFinished(Duration took, int tokens)
@@ -58,13 +58,12 @@
     constexpr int kEnoughTokens = 12; // Fewer say little about the time of one.
     if (tokens >= kEnoughTokens) {
         const Duration each = took / tokens;
-        this->timePerToken += std::chrono::duration_cast<Duration>(kLatenessWeight
-                                                                   * (each - this->timePerToken));
+        this->timePerToken +=
+            std::chrono::duration_cast<Duration>(kLatenessWeight * (each - this->timePerToken));
     }
 }
 
-double AnswerCascade::expectedOutput(const CascadeQuestion &question,
-                                     const RouteSizes &sizes) const
+double AnswerCascade::expectedOutput(const CascadeQuestion &question, const RouteSizes &sizes) const
 {
     const double usual = sizes.outputPart * question.mostOutputTokens;
     if (question.guessedOutputTokens <= 0) {
@@ -77,8 +76,7 @@
 
 Duration AnswerCascade::expectedTime(double output) const
 {
-    return this->firstToken
-        + std::chrono::duration_cast<Duration>(output * this->timePerToken);
+    return this->firstToken + std::chrono::duration_cast<Duration>(output * this->timePerToken);
 }
 
 void AnswerCascade::onAnswered(const std::string &route, int promptTokens, int mostOutputTokens,
@@ -107,13 +105,16 @@
 
 bool AnswerCascade::wantsLargeModel(const CascadeQuestion &question)
 {
+    const double doubt = 1 - this->goodChance(question.confidence);
+    if (doubt < this->options.leastDoubt) {
+        return false;
+    }
     const RouteSizes &sizes = this->routes[question.route];
     const double output = this->expectedOutput(question, sizes);
     if (this->expectedTime(output) > this->options.timePart * question.timeLeft) {
         return false;
     }
-    const double gain = (1 - this->goodChance(question.confidence)) * (1 - this->options.poorCredit)
-        * this->worth(question, sizes);
+    const double gain = doubt * (1 - this->options.poorCredit) * this->worth(question, sizes);
     constexpr double kReadPart = 0.25; // A prompt token costs a quarter of a token made.
     constexpr double kThousand = 1000;
     const double cost =
--- a/libs/decision/tests/AnswerCascadeTest.cpp
+++ b/libs/decision/tests/AnswerCascadeTest.cpp
@@ -48,6 +48,17 @@
     CHECK_FALSE(cascade.wantsLargeModel(summary(70)));
 }
 
+TEST_CASE("a sure answer is kept even where the large model costs nothing")
+{
+    ManualClock clock;
+    AnswerCascade cascade({}, clock);
+    CascadeQuestion free = plan(95);
+    free.costPerThousand = 0;
+    CHECK_FALSE(cascade.wantsLargeModel(free));
+    free.confidence = 60;
+    CHECK(cascade.wantsLargeModel(free));
+}
+
 TEST_CASE("a rush: what gains least for its work gives way first, the plans last")
 {
     ManualClock clock;
--- a/libs/runtime/src/HttpServer.cpp
+++ b/libs/runtime/src/HttpServer.cpp
@@ -68,10 +68,13 @@
 class Exchange final : public HttpExchange
 {
 public:
-    Exchange(beast::tcp_stream &stream, HttpRequest &&plain, bool keepAlive, Duration writeTimeout)
+    /// `closing`: read when the answer begins; true when callers shall leave.
+    Exchange(beast::tcp_stream &stream, HttpRequest &&plain, bool keepAlive, const bool &closing,
+             Duration writeTimeout)
         : stream(stream)
         , plain(std::move(plain))
         , keepAlive(keepAlive)
+        , closing(closing)
         , writeTimeout(writeTimeout)
     { }
 
@@ -81,7 +84,6 @@
     bool answered() const override { return this->started; }
     bool callerGone() const override { return this->watch->gone; }
     bool mayReuse() const { return this->keepAlive && this->complete; }
-    void closeAfterwards() { this->keepAlive = false; }
 
     absl::Status respond(const HttpResponse &response) override
     {
@@ -168,6 +170,7 @@
     void fill(Message &message, const HttpHeaders &headers)
     {
         this->started = true;
+        this->keepAlive = this->keepAlive && !this->closing;
         for (const HttpHeader &field : headers.fields) {
             message.insert(field.name, field.value);
         }
@@ -188,6 +191,7 @@
     HttpRequest plain;
     std::shared_ptr<CallerWatch> watch = std::make_shared<CallerWatch>();
     bool keepAlive;
+    const bool &closing;
     bool started = false;
     std::string pendingHeader; ///< Of a stream whose first part has not been sent.
     bool complete = false;     ///< The whole answer has been written.
@@ -234,7 +238,7 @@
     std::set<beast::tcp_stream *> idle; ///< Connections that wait for a request.
     HttpServerStats stats;
     bool closingAfterAnswers = false;
-    bool stopping = false;
+    bool stopping = false; ///< Invariant: implies closingAfterAnswers.
 };
 
 void HttpServer::Impl::acceptLoop()
@@ -275,7 +279,8 @@
 
 void HttpServer::Impl::refuse(beast::tcp_stream &stream, int status, std::string_view text)
 {
-    Exchange exchange(stream, HttpRequest(), false, this->options.writeTimeout);
+    Exchange exchange(stream, HttpRequest(), false, this->closingAfterAnswers,
+                      this->options.writeTimeout);
     const absl::Status ignored = exchange.respond(this->handler.malformed(status, text));
     (void)ignored;
     error_code shut;
@@ -314,10 +319,8 @@
         return false;
     }
     const bool keepAlive = parser.get().keep_alive();
-    Exchange exchange(stream, toPlain(parser.release()), keepAlive, this->options.writeTimeout);
-    if (this->stopping || this->closingAfterAnswers) {
-        exchange.closeAfterwards();
-    }
+    Exchange exchange(stream, toPlain(parser.release()), keepAlive, this->closingAfterAnswers,
+                      this->options.writeTimeout);
     ++this->stats.activeRequests;
     this->handler.handle(exchange);
     --this->stats.activeRequests;
@@ -380,6 +383,7 @@
 {
     Impl &impl = *this->impl;
     impl.stopping = true;
+    impl.closingAfterAnswers = true;
     error_code ignored;
     impl.acceptor.close(ignored);
     for (beast::tcp_stream *stream : impl.idle) {
--- a/tools/standins/StandinServer.h
+++ b/tools/standins/StandinServer.h
@@ -27,6 +27,7 @@
 public:
     StandinServer(FiberRuntime &runtime, Endpoint listen);
     absl::Status start() { return this->server.start(); }
+    void stop() { this->server.stopAccepting(); }
     HttpResponse malformed(int status, std::string_view text) override;
 
 protected:
