News are passed on at once; every instance of a small site watches the servers

Ruled out: a shorter gossip interval (costs bytes all the time). Change: a new record goes to three members 10 ms after it came, and each of them does the same; a record that must be asked for is asked of up to twelve peers.

--- a/kernel/src/site/RecordFeed.h
+++ b/kernel/src/site/RecordFeed.h
@@ -25,7 +25,7 @@
     Duration watchWait = std::chrono::seconds(20);
     Duration firstRetry = std::chrono::milliseconds(120);
     /// After a change, more of the same cause follow: one call takes them all.
-    Duration gather = std::chrono::milliseconds(300);
+    Duration gather = std::chrono::milliseconds(150);
     Duration longestRetry =
         std::chrono::milliseconds(900); ///< Within the time that changes may take.
 };
--- a/kernel/src/site/RecordRelay.cpp
+++ b/kernel/src/site/RecordRelay.cpp
@@ -18,7 +18,7 @@
 constexpr char kAskFor = 'f';
 constexpr char kSeparator = '\x1f';      // Between table and name; neither contains it.
 constexpr std::size_t kMostInline = 700; // Some of these fit one gossip message.
-constexpr int kFetchTries = 3;           // Peers that are asked for a record.
+constexpr int kFetchTries = 12;          // Peers that are asked; few may have a new record yet.
 constexpr Duration kFetchTimeout = milliseconds(400);
 
 std::string rumorName(const RecordKey &key)
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -20,11 +20,14 @@
 /// A few rounds reach every instance well within the time that a change may take.
 constexpr Duration kGossipInterval = milliseconds(250);
 constexpr Duration kTickInterval = milliseconds(200);
-/// Up to so many instances, each watches the operators' table itself: that is the fastest way.
+/// Members that hear of news at once; each of them does the same.
+constexpr int kNewsFanOut = 3;
+constexpr Duration kNewsPause = milliseconds(10); // News that come together go together.
+/// Up to so many instances, each watches what the platform writes itself: that is the surest way.
 constexpr int kSmallSite = 16;
 /// Instances that watch a table for all: a third of them may be turned away at one time.
 constexpr int kWatchersOfSmallSite = 4;
-constexpr int kWatchersOfLargeSite = 6;
+constexpr int kWatchersOfLargeSite = 8;
 constexpr std::size_t kMostCrashes = 10'000; // Remembered, so that each is told once.
 
 Settings peerPart(const SiteSettings &site)
@@ -174,7 +177,6 @@
     }
     const auto count = static_cast<int>(candidates.size());
     std::vector<std::string> tables = this->adapter.codec().watchedTables();
-    const std::string operators = tables.front();
     tables.emplace_back(kOwnTable);
     for (const std::string &table : tables) {
         const std::uint64_t own = hash64(this->settings.instance, hash64(table));
@@ -183,7 +185,7 @@
             before += hash64(name, hash64(table)) > own ? 1 : 0;
         }
         const int most = count > kSmallSite ? kWatchersOfLargeSite : kWatchersOfSmallSite;
-        const bool all = count <= kSmallSite && table == operators;
+        const bool all = count <= kSmallSite && table != kOwnTable;
         this->feed.setWatching(table, all || before < most);
     }
 }
@@ -197,6 +199,7 @@
     }
     if (!changed.empty()) {
         this->publish();
+        this->spreadNews();
     }
 }
 
@@ -212,6 +215,7 @@
     }
     if (changed) {
         this->publish();
+        this->spreadNews();
     }
 }
 
@@ -223,9 +227,24 @@
     this->applyFact(record, from);
     this->relay.tell(record);
     this->publish();
+    this->spreadNews();
     return true;
 }
 
+void SiteControl::spreadNews()
+{
+    if (std::exchange(this->spreading, true)) {
+        return;
+    }
+    this->runtime.spawn([this] {
+        this->runtime.sleepFor(kNewsPause);
+        this->spreading = false;
+        for (int number = 0; number < kNewsFanOut; ++number) {
+            this->peers.gossipRound();
+        }
+    });
+}
+
 void SiteControl::takeOwnRecord(const Record &record)
 {
     if (!absl::StartsWith(record.key.name, kMemberPrefix)) {
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -61,6 +61,8 @@
     void onTable(const std::string &table, const RecordPage &page);
     void onChanges(const RecordPage &page);
     void onRumors();
+    /// Passes news on now, instead of with the next round of gossip.
+    void spreadNews();
     void announceSelf();
     void onStoreAccess(bool answers);
     /// Decides which tables this instance watches itself.
@@ -94,6 +96,7 @@
     std::map<std::string, MemberState> seenMembers;
     std::set<std::string> knownCrashes;
     bool announced = false;
+    bool spreading = false; ///< News are about to be passed on.
     std::optional<TimePoint> stopsAt;
     std::uint64_t accessChanges = 0; ///< Version of this instance's own StoreAccess rumor.
     std::thread thread;
