A request that comes before the configuration is held for up to 250 ms, not refused

Ruled out: opening the ports later (the caller's connection is refused instead, which is a try, too).

--- a/kernel/src/relay/RelayContext.h
+++ b/kernel/src/relay/RelayContext.h
@@ -18,6 +18,7 @@
 
 namespace basilnotch {
 
+class FiberRuntime;
 class SiteControl;
 class UpstreamDesk;
 class SlownessMeter;
@@ -30,6 +31,7 @@
     const Clock &clock;
     EventLog &log;
     Metrics &metrics;
+    FiberRuntime &runtime;
     HttpClient &client;
     UpstreamDesk &upstreams;
     PoisonGuard &poison;
--- a/kernel/src/relay/SiteHandlers.cpp
+++ b/kernel/src/relay/SiteHandlers.cpp
@@ -5,6 +5,7 @@
 
 #include "site/SiteControl.h"
 
+#include <runtime/FiberRuntime.h>
 #include <runtime/HttpStatus.h>
 
 #include <algorithm>
@@ -15,6 +16,10 @@
 
 /// Short, so that callers soon leave an instance that is gone; each question costs little.
 constexpr Duration kDirectoryTtl = seconds(1);
+/// The store and the peers answer a starting instance within some tens of milliseconds; a caller
+/// that is refused comes back later than that.
+constexpr Duration kStartPatience = milliseconds(250);
+constexpr Duration kStartPoll = milliseconds(5);
 constexpr std::size_t kMostAddresses = 64; // Callers read no more.
 
 } // namespace
@@ -23,6 +28,7 @@
 {
     this->context.metrics.counter("requests_total").add();
     const TimePoint began = this->context.clock.now();
+    this->waitForConfiguration();
     std::variant<RelayRequest, AdmissionProblem> admitted =
         admitRequest(exchange.request(), this->context);
     if (const auto *problem = std::get_if<AdmissionProblem>(&admitted)) {
@@ -40,6 +46,18 @@
     this->context.metrics.histogram("request_seconds").record(this->context.clock.now() - began);
 }
 
+void RelayHandler::waitForConfiguration()
+{
+    const TimePoint until = this->context.clock.now() + kStartPatience;
+    while (this->context.clock.now() < until) {
+        const std::shared_ptr<const SiteView> view = this->context.control.view();
+        if (view->catalog && view->upstreams->size() > 0) {
+            return;
+        }
+        this->context.runtime.sleepFor(kStartPoll);
+    }
+}
+
 HttpResponse RelayHandler::malformed(int status, std::string_view text)
 {
     this->context.metrics.counter("requests_malformed_total").add();
--- a/kernel/src/relay/SiteHandlers.h
+++ b/kernel/src/relay/SiteHandlers.h
@@ -21,6 +21,9 @@
     HttpResponse malformed(int status, std::string_view text) override;
 
 private:
+    /// Lets a process that has just started read its configuration before it refuses anything.
+    void waitForConfiguration();
+
     RelayContext &context;
 };
 
--- a/kernel/src/relay/SiteTraffic.cpp
+++ b/kernel/src/relay/SiteTraffic.cpp
@@ -71,10 +71,9 @@
         , desk(pickerOptions(settings), clock, hash64(settings.instance, 2))
         , poison({kCrashesToQuarantine, kCrashMemory}, clock)
         , cascade({}, clock)
-        , context{control,       adapter.dialect(), clock,
-                  log,           metrics,           this->client,
-                  this->desk,    this->poison,      this->slowness,
-                  this->cascade, this->retryWindows}
+        , context{control,      adapter.dialect(), clock,         log,
+                  metrics,      this->runtime,     this->client,  this->desk,
+                  this->poison, this->slowness,    this->cascade, this->retryWindows}
         , relay(this->context)
         , directory(this->context, hash64(settings.instance, 3))
         , readiness(this->context)
