--- a/kernel/include/kernel/Site.h
+++ b/kernel/include/kernel/Site.h
@@ -84,7 +84,7 @@
     bool anyModel = false; ///< The system chooses the model.
     int promptTokens = 0;
     int mostOutputTokens = 0;
-    int guessedOutputTokens = 0;       ///< The caller's estimate; 0 when it gives none.
+    int guessedOutputTokens = 0;    ///< The caller's estimate; 0 when it gives none.
     std::vector<PromptPart> prompt; ///< In order.
     std::optional<std::int64_t> lastEventId;
     std::string session;
--- a/libs/runtime/tests/HttpTest.cpp
+++ b/libs/runtime/tests/HttpTest.cpp
@@ -217,3 +217,145 @@
         runtime.run();
     }).join();
 }
+
+namespace {
+
+/// A peer written by hand: accepts one connection and answers each request with the next text.
+class ScriptedPeer
+{
+public:
+    ScriptedPeer(std::uint16_t port, std::vector<std::string> answers)
+        : answers(std::move(answers))
+        , listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const int yes = 1;
+        ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        REQUIRE(::bind(this->listener, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0);
+        REQUIRE(::listen(this->listener, 4) == 0);
+        this->thread = std::thread([this] { this->serve(); });
+    }
+    ~ScriptedPeer()
+    {
+        ::shutdown(this->listener, SHUT_RDWR);
+        ::close(this->listener);
+        this->thread.join();
+    }
+    ScriptedPeer(const ScriptedPeer &) = delete;
+    ScriptedPeer &operator=(const ScriptedPeer &) = delete;
+
+private:
+    void serve()
+    {
+        std::size_t next = 0;
+        while (next < this->answers.size()) {
+            const int caller = ::accept(this->listener, nullptr, nullptr);
+            if (caller < 0) {
+                return;
+            }
+            char buffer[4096];
+            while (next < this->answers.size() && ::recv(caller, buffer, sizeof(buffer), 0) > 0) {
+                const std::string &text = this->answers[next++];
+                (void)::send(caller, text.data(), text.size(), MSG_NOSIGNAL);
+            }
+            ::close(caller);
+        }
+    }
+
+    const std::vector<std::string> answers;
+    const int listener;
+    std::thread thread;
+};
+
+std::string scripted(const std::string &id, const std::string &body, const std::string &more = "")
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + more + "Content-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Bodies that requests with these ids got, one after the other; "error" where there was none.
+std::vector<std::string> bodiesFor(std::uint16_t port, const std::vector<std::string> &ids,
+                                   HttpClientOptions clientOptions = {})
+{
+    std::vector<std::string> bodies;
+    std::thread([&] {
+        FiberRuntime runtime;
+        runtime.post([&] {
+            HttpClient client(runtime, clientOptions);
+            for (const std::string &id : ids) {
+                CallOptions options;
+                options.timeout = milliseconds(500);
+                options.correlation = Correlation{"Id", id};
+                const auto answer = client.call({"127.0.0.1", port}, HttpRequest(), options);
+                bodies.push_back(answer.ok() ? answer->body : "error");
+                runtime.sleepFor(milliseconds(30));
+            }
+            runtime.stop();
+        });
+        runtime.run();
+    }).join();
+    return bodies;
+}
+
+} // namespace
+
+TEST_CASE("an answer of an earlier request is skipped, also when it comes where ours is expected")
+{
+    const std::uint16_t port = kPort + 40;
+    ScriptedPeer peer(port, {scripted("1", "one"), scripted("1", "one again") + scripted("2", "two")});
+    CHECK(bodiesFor(port, {"1", "2"}) == std::vector<std::string>{"one", "two"});
+}
+
+TEST_CASE("a second answer that has already come spoils the connection, not the next request")
+{
+    const std::uint16_t port = kPort + 41;
+    ScriptedPeer peer(port, {scripted("1", "one") + scripted("1", "extra"), scripted("2", "two")});
+    CHECK(bodiesFor(port, {"1", "2"}) == std::vector<std::string>{"one", "two"});
+}
+
+TEST_CASE("a success without the id is not taken on a connection that has been used before")
+{
+    const std::uint16_t port = kPort + 42;
+    const std::string nameless = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad";
+    ScriptedPeer peer(port, {scripted("1", "one"), nameless});
+    CHECK(bodiesFor(port, {"1", "2"}) == std::vector<std::string>{"one", "error"});
+}
+
+TEST_CASE("a peer that states its idle timeout is not sent anything shortly before it")
+{
+    const std::uint16_t port = kPort + 43;
+    // A connection of one second is left half a second early; the next request comes on another one.
+    ScriptedPeer peer(port, {scripted("1", "one", "Keep-Alive: timeout=0\r\n"),
+                             scripted("2", "two", "Keep-Alive: timeout=0\r\n")});
+    CHECK(bodiesFor(port, {"1", "2"}) == std::vector<std::string>{"one", "two"});
+}
+
+TEST_CASE("an answer without a length that ends by a reset is not whole")
+{
+    const std::uint16_t port = kPort + 44;
+    ScriptedPeer peer(port, {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf"});
+    CHECK(bodiesFor(port, {"1"}) == std::vector<std::string>{"error"});
+}
+
+TEST_CASE("smuggled and malformed requests are refused, never guessed at")
+{
+    const auto port = static_cast<std::uint16_t>(kPort + 45);
+    withServer(port, [&](FiberRuntime &runtime, HttpClient &, TestHandler &) {
+        for (const std::string &head :
+             {std::string("Content-Length: 4\r\nContent-Length: 5\r\n"),
+              std::string("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"),
+              std::string("Transfer-Encoding: chunked\r\nContent-Length: 4\r\n"),
+              std::string("Content-Length: -1\r\n"), std::string("Content-Length: 4x\r\n"),
+              std::string("Bad Header : x\r\n"), std::string("X\x01Y: z\r\n")}) {
+            INFO(head);
+            const std::string answer = rawFromFiber(
+                runtime, port,
+                "POST /x HTTP/1.1\r\nHost: a\r\n" + head + "\r\nGET /smuggled HTTP/1.1\r\n\r\n");
+            CHECK(answer.starts_with("HTTP/1.1 400"));
+            CHECK(answer.find("HTTP/1.1", 5) == std::string::npos); // One answer, no second one.
+        }
+    });
+}
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -16,4 +16,7 @@
 done
 grep -rnE '#include <boost/(asio|beast|fiber)' libs/*/include kernel/include && { echo "public headers must not include Asio, Beast or Fiber"; failed=1; }
 grep -rnE '#include .*(Standin|CallerClient|LoadTool|CuttingRelay|FakeTable|BenchWorld)' libs/*/src libs/*/include kernel tools/basilnotch --include='*.h' --include='*.cpp' | grep -v '/tests/' && { echo "the product must not include stand-ins or the bench"; failed=1; }
+# What the users' platform calls things is known to its adapter alone.
+names='Attempt-Id|Server-Stamp|Not-Executed|Expect-Instance|Token-Counts|Prompt-Prefix|Length-Hint|Priority-Class|Server-Load|Kv-[A-Z]|rows-(tx|get|feed)|/api/(readyz|resolution)|route_kind|can_resume|api_keys'
+git ls-files '*.cpp' '*.h' | grep -v '^platform/' | xargs grep -nE "$names" && { echo "names of the platform outside platform/"; failed=1; }
 exit "$failed"
