Old news are forgotten, idle connections closed and bounded by what upstreams take

Cause: found by reading for a process that runs for weeks: crash reports and counts of ended roll-outs stayed in the gossip until its bound, beyond which it refuses news of any kind; idle connections to upstreams that had gone kept their descriptors; six idle connections an instance are over the 500 that a server of the grown sites takes from 73. An instance's word on its store access could lie below that of an earlier process whose clock ran ahead. Change: RumorStore::forget for kinds that are not repaired, HttpClient::closeExpired, a quarter of an upstream's connections for idle ones.

--- a/kernel/src/relay/SiteTraffic.cpp
+++ b/kernel/src/relay/SiteTraffic.cpp
@@ -27,7 +27,7 @@
 constexpr Duration kCrashMemory = std::chrono::minutes(2);
 /// An upstream that does not say when it closes idle connections may do so within a second.
 constexpr Duration kUnstatedIdleAge = milliseconds(400);
-constexpr std::size_t kIdlePerUpstream = 6; // All instances share the connections of an upstream.
+constexpr int kIdlePerUpstream = 6; // Of one instance; more are rarely needed at once.
 
 HttpServerOptions callerOptions(const SiteSettings &settings)
 {
@@ -54,6 +54,19 @@
     return options;
 }
 
+/// At most a quarter of the connections that an upstream takes lies idle, all instances together.
+std::size_t idlePerUpstream(const SiteView &view)
+{
+    constexpr int kIdlePart = 4;
+    int most = kIdlePerUpstream;
+    for (const Service &service : view.catalog->services()) {
+        if (service.maxConnections > 0) {
+            most = std::min(most, service.maxConnections / (kIdlePart * view.liveInstances));
+        }
+    }
+    return static_cast<std::size_t>(std::max(1, most));
+}
+
 PickerOptions pickerOptions(const SiteSettings &settings)
 {
     PickerOptions options;
@@ -99,6 +112,7 @@
         if (!view->catalog) {
             return;
         }
+        this->client.setMaxIdlePerPeer(idlePerUpstream(*view));
         const RequestBounds &bounds = view->catalog->bounds();
         HttpServerBounds next;
         next.headerBytes = bounds.headerBytes;
@@ -112,6 +126,7 @@
     {
         while (true) {
             this->desk.pump();
+            this->client.closeExpired();
             this->active.store(this->callers.stats().activeRequests);
             this->runtime.sleepFor(kHousekeeping);
         }
--- a/kernel/src/site/RolloutDesk.cpp
+++ b/kernel/src/site/RolloutDesk.cpp
@@ -97,6 +97,8 @@
     }
     known.order = order;
     known.orderVersion = version;
+    std::erase_if(this->counts,
+                  [&](const auto &item) { return std::get<0>(item.first) == order.service; });
     known.orderedAt = this->clock.now();
     ++this->changes;
     if (!this->isCurrent(known)) {
@@ -149,6 +151,17 @@
     this->countsChanged = true;
 }
 
+bool RolloutDesk::isUnderWay(const Rumor &rumor) const
+{
+    const std::vector<std::string> parts = absl::StrSplit(rumor.id.name, kSeparator);
+    if (parts.size() < 2) {
+        return false;
+    }
+    const auto known = this->byService.find(parts[0]);
+    return known != this->byService.end() && known->second.state.phase == RolloutPhase::InProgress
+        && parts[1] == absl::StrCat(known->second.state.order);
+}
+
 void RolloutDesk::tellCounts()
 {
     if (!std::exchange(this->countsChanged, false)) {
--- a/kernel/src/site/RolloutDesk.h
+++ b/kernel/src/site/RolloutDesk.h
@@ -47,6 +47,8 @@
     void tick(std::optional<Duration> storeTime, const UpstreamList &upstreams);
     std::map<std::string, ActiveRollout, std::less<>>
     rollouts(std::optional<Duration> storeTime) const;
+    /// True for a rumor of counts that still decides something.
+    bool isUnderWay(const Rumor &counts) const;
     /// Grows whenever rollouts() would say something else.
     std::uint64_t revision() const { return this->changes; }
 
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::size_t kIncarnationBytes = 6;
 constexpr char kMemberPrefix[] = "member/";
-constexpr char kCrashSeparator = '\x1f';
+constexpr char kNameSeparator = '\x1f'; // Between the two names of a rumor.
 /// A few rounds reach every instance well within the time that a change may take.
 constexpr Duration kGossipInterval = milliseconds(250);
 constexpr Duration kTickInterval = milliseconds(200);
@@ -28,7 +28,8 @@
 /// Instances that watch a table for all: a third of them may be turned away at one time.
 constexpr int kWatchersOfSmallSite = 4;
 constexpr int kWatchersOfLargeSite = 8;
-constexpr std::size_t kMostCrashes = 10'000; // Remembered, so that each is told once.
+constexpr Duration kCrashMemory = std::chrono::minutes(2); // As long as a quarantine lasts.
+constexpr std::size_t kMostCrashes = 10'000;               // Remembered, so that each is told once.
 
 Settings peerPart(const SiteSettings &site)
 {
@@ -157,11 +158,10 @@
     if (answers) {
         this->presence.onStoreReturned();
     }
-    const auto version = firstMemberVersion(this->clock);
-    this->accessChanges = std::max(this->accessChanges + 1, version);
-    this->gossip.tell({{RumorKind::StoreAccess, this->settings.instance},
-                       this->accessChanges,
-                       answers ? "1" : "0"});
+    // Above the word of an earlier process of this name, whatever its clock said.
+    const RumorId id{RumorKind::StoreAccess, this->settings.instance};
+    const Rumor *before = this->gossip.store().find(id);
+    this->gossip.tell({id, before ? before->version + 1 : 1, answers ? "1" : "0"});
     this->chooseWatches();
 }
 
@@ -302,22 +302,38 @@
 void SiteControl::onRumors()
 {
     this->relay.takeRumors();
-    this->gossip.store().forEach(RumorKind::Quarantine, [&](const Rumor &rumor) {
-        if (this->knownCrashes.size() < kMostCrashes
-            && this->knownCrashes.insert(rumor.id.name).second && this->listener.crash) {
-            const std::size_t at = rumor.id.name.find(kCrashSeparator);
-            if (at != std::string::npos) {
-                this->listener.crash(rumor.id.name.substr(0, at), rumor.id.name.substr(at + 1));
-            }
-        }
-    });
+    this->takeCrashes();
     if (this->gossip.store().digest() != this->seenRumors) {
         this->publish();
     }
 }
 
+void SiteControl::takeCrashes()
+{
+    this->gossip.store().forEach(RumorKind::Crash, [&](const Rumor &rumor) {
+        const std::size_t at = rumor.id.name.find(kNameSeparator);
+        const bool isNews = this->knownCrashes.size() < kMostCrashes && at != std::string::npos
+            && this->knownCrashes.emplace(rumor.id.name, this->clock.now()).second;
+        if (isNews && this->listener.crash) {
+            this->listener.crash(rumor.id.name.substr(0, at), rumor.id.name.substr(at + 1));
+        }
+    });
+}
+
+void SiteControl::forgetOld()
+{
+    const TimePoint oldest = this->clock.now() - kCrashMemory;
+    std::erase_if(this->knownCrashes, [&](const auto &item) { return item.second < oldest; });
+    this->gossip.store().forget(RumorKind::Crash, [&](const Rumor &rumor) {
+        return !this->knownCrashes.contains(rumor.id.name);
+    });
+    this->gossip.store().forget(
+        RumorKind::Verdict, [&](const Rumor &rumor) { return !this->rollouts.isUnderWay(rumor); });
+}
+
 void SiteControl::tick()
 {
+    this->forgetOld();
     const std::shared_ptr<const SiteView> current = this->published.get();
     this->rollouts.tick(this->feed.storeTime(), *current->upstreams);
     if (!this->announced && this->feed.storeAnswers()) {
@@ -375,9 +391,9 @@
 void SiteControl::onCrash(std::string fingerprint, std::string upstream)
 {
     this->runtime.post(
-        [this, name = absl::StrCat(fingerprint, std::string(1, kCrashSeparator), upstream)] {
-            this->knownCrashes.insert(name);
-            this->gossip.tell({{RumorKind::Quarantine, name}, 1, ""});
+        [this, name = absl::StrCat(fingerprint, std::string(1, kNameSeparator), upstream)] {
+            this->knownCrashes.emplace(name, this->clock.now());
+            this->gossip.tell({{RumorKind::Crash, name}, 1, ""});
         });
 }
 
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -18,7 +18,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <thread>
 
@@ -63,6 +62,9 @@
     void onRumors();
     /// Passes news on now, instead of with the next round of gossip.
     void spreadNews();
+    void takeCrashes();
+    /// Drops what is told once and no longer matters.
+    void forgetOld();
     void announceSelf();
     void onStoreAccess(bool answers);
     /// Decides which tables this instance watches itself.
@@ -94,11 +96,10 @@
     std::uint64_t seenRumors = 0;   ///< Digest of the gossip when the view was last made.
     std::uint64_t seenRollouts = 0; ///< Revision of the roll-outs when the view was last made.
     std::map<std::string, MemberState> seenMembers;
-    std::set<std::string> knownCrashes;
+    std::map<std::string, TimePoint> knownCrashes; ///< When they were first heard of.
     bool announced = false;
     bool spreading = false; ///< News are about to be passed on.
     std::optional<TimePoint> stopsAt;
-    std::uint64_t accessChanges = 0; ///< Version of this instance's own StoreAccess rumor.
     std::thread thread;
 };
 
--- a/libs/membership/include/membership/Rumor.h
+++ b/libs/membership/include/membership/Rumor.h
@@ -22,8 +22,9 @@
     UpstreamLoad,    ///< An upstream's last load report.
     Quality,         ///< An instance's rating counts.
     Usage,           ///< An instance's use of workspace budgets.
+    Crash,           ///< A request and an upstream that crashed while it ran it; soon forgotten.
 };
-constexpr int kRumorKinds = 12;
+constexpr int kRumorKinds = 13;
 
 struct RumorId
 {
--- a/libs/membership/include/membership/RumorStore.h
+++ b/libs/membership/include/membership/RumorStore.h
@@ -19,6 +19,9 @@
     bool merge(const Rumor &rumor);
     const Rumor *find(const RumorId &id) const;
     void forEach(RumorKind kind, const std::function<void(const Rumor &)> &visit) const;
+    /// Forgets rumors of a kind that `isOver` names. Only for kinds that are not repaired: a peer
+    /// would bring the others back.
+    void forget(RumorKind kind, const std::function<bool(const Rumor &)> &isOver);
     /// Up to `maxBytes` of rumors that have been sent fewer than `maxSends` times, urgent kinds and
     /// less often sent ones first. Counts them as sent.
     std::vector<Rumor> takeForSending(std::size_t maxBytes, int maxSends);
--- a/libs/membership/src/RumorStore.cpp
+++ b/libs/membership/src/RumorStore.cpp
@@ -60,6 +60,14 @@
     }
 }
 
+void RumorStore::forget(RumorKind kind, const std::function<bool(const Rumor &)> &isOver)
+{
+    for (auto item = this->entries.lower_bound({kind, ""});
+         item != this->entries.end() && item->first.kind == kind;) {
+        item = isOver(item->second.rumor) ? this->entries.erase(item) : std::next(item);
+    }
+}
+
 std::vector<Rumor> RumorStore::takeForSending(std::size_t maxBytes, int maxSends)
 {
     std::vector<Rumor> taken;
@@ -70,10 +78,11 @@
         while (!ids.empty() && bytes < maxBytes) {
             const RumorId id = std::move(ids.back());
             ids.pop_back();
-            Entry &entry = this->entries.at(id);
-            if (entry.sends != key.second) {
-                continue; // Replaced since; the newer one has its own place.
+            const auto found = this->entries.find(id);
+            if (found == this->entries.end() || found->second.sends != key.second) {
+                continue; // Forgotten, or replaced since: the newer one has its own place.
             }
+            Entry &entry = found->second;
             ++entry.sends;
             bytes += wireBytes(entry.rumor);
             taken.push_back(entry.rumor);
--- a/libs/membership/tests/GossipTest.cpp
+++ b/libs/membership/tests/GossipTest.cpp
@@ -211,3 +211,19 @@
     CHECK(store.merge({{RumorKind::Usage, "a"}, 2, ""}));
     CHECK(store.refused() == 1);
 }
+
+TEST_CASE("a forgotten rumor is neither kept nor sent, and the others are")
+{
+    RumorStore store;
+    store.merge({{RumorKind::Crash, "old"}, 1, ""});
+    store.merge({{RumorKind::Crash, "new"}, 2, ""});
+    store.merge({{RumorKind::Member, "one"}, 2, "x"});
+    store.forget(RumorKind::Crash, [](const Rumor &rumor) { return rumor.version < 2; });
+    CHECK(store.size() == 2);
+    const std::vector<Rumor> sent = store.takeForSending(10'000, 3);
+    CHECK(sent.size() == 2);
+    for (const Rumor &rumor : sent) {
+        CHECK(rumor.id.name != "old");
+    }
+    CHECK(store.merge({{RumorKind::Crash, "old"}, 1, ""})); // News again.
+}
--- a/libs/runtime/include/runtime/HttpClient.h
+++ b/libs/runtime/include/runtime/HttpClient.h
@@ -95,6 +95,10 @@
     absl::StatusOr<HttpResponse> call(const Endpoint &peer, const HttpRequest &request,
                                       const CallOptions &options);
 
+    /// Closes idle connections that are not to be used again.
+    void closeExpired();
+    void setMaxIdlePerPeer(std::size_t most);
+
     static constexpr std::size_t kMaxCallBytes = 64 * 1024 * 1024;
 
 private:
--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -127,7 +127,7 @@
                                                         CallCanceller *canceller);
 
     FiberRuntime &runtime;
-    const HttpClientOptions options;
+    HttpClientOptions options;
     std::map<std::string, std::vector<std::unique_ptr<Connection>>, std::less<>> idle;
 };
 
@@ -436,6 +436,22 @@
     return answer;
 }
 
+void HttpClient::closeExpired()
+{
+    const TimePoint now = SystemClock().now();
+    for (auto &[peer, list] : this->impl->idle) {
+        std::erase_if(list, [&](const std::unique_ptr<Connection> &connection) {
+            return now >= connection->usableUntil;
+        });
+    }
+    std::erase_if(this->impl->idle, [](const auto &item) { return item.second.empty(); });
+}
+
+void HttpClient::setMaxIdlePerPeer(std::size_t most)
+{
+    this->impl->options.maxIdlePerPeer = most;
+}
+
 absl::StatusOr<HttpResponse> HttpClient::call(const Endpoint &peer, const HttpRequest &request,
                                               const CallOptions &options)
 {
