--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 demo: build
 	bash samples/demo/run.sh $(BUILD)
+	$(BUILD)/platform/test_site "[demo]"
 
 test: build
 	bash tests/run.sh $(BUILD)
--- a/model/check.sh
+++ b/model/check.sh
@@ -38,4 +38,10 @@
 verify lease broken -DFENCING -DBROKEN
 verify lease holds
 verify lease broken -DBROKEN
+verify rollout holds
+verify rollout broken -DBROKEN
+verify replica holds
+verify replica broken -DBROKEN
+verify send holds
+verify send broken -DBROKEN
 exit "$failures"
