--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -2,6 +2,7 @@
 // stream goes on elsewhere only after the connection to the upstream before has been closed.
 #include "RelayRun.h"
 
+#include "RelayWant.h"
 #include "SlownessMeter.h"
 
 #include "site/SiteControl.h"
@@ -105,7 +106,7 @@
     question.route = route.name;
     question.priority = route.priority;
     question.promptTokens = caller.promptTokens;
-    question.uncachedTokens = this->want().ownTokens;
+    question.uncachedTokens = std::max(0, caller.promptTokens - sharedTokens(caller));
     question.mostOutputTokens = caller.mostOutputTokens;
     question.guessedOutputTokens = caller.guessedOutputTokens;
     question.timeLeft = this->timeLeft();
@@ -121,46 +122,6 @@
         && this->retryWindow().take(this->request.view->liveInstances);
 }
 
-VersionFilter RelayRun::versions() const
-{
-    const auto found = this->request.view->rollouts.find(this->request.service);
-    if (found == this->request.view->rollouts.end()) {
-        return {};
-    }
-    const ActiveRollout &rollout = found->second;
-    if (rollout.state.phase == RolloutPhase::Completed) {
-        return {rollout.state.toVersion, false};
-    }
-    const Duration elapsed = this->context.clock.now() - rollout.startedAt;
-    const CallerHeaders &caller = this->request.caller;
-    const std::string &key = caller.session.empty() ? caller.requestId : caller.session;
-    const double share =
-        rolloutShare(rollout.state, elapsed, this->request.view->bounds.exposureShare);
-    const bool stays = !caller.session.empty() && keepsSessions(rollout.state, elapsed);
-    const bool onNew = !rollout.held && !stays && fallsOnNew(key, share);
-    return {rollout.state.toVersion, !onNew};
-}
-
-UpstreamWant RelayRun::want()
-{
-    UpstreamWant want;
-    want.service = this->request.service;
-    want.versions = this->versions();
-    want.avoid = this->avoid;
-    want.priority = this->request.priority;
-    want.isEngine = this->request.engine() != nullptr;
-    const std::vector<PromptPart> &prompt = this->request.caller.prompt;
-    if (prompt.size() > 1) {
-        // The last part is the request's own; the one before it is shared by the fewest others.
-        for (std::size_t index = 0; index + 1 < prompt.size(); ++index) {
-            want.sharedTokens += prompt[index].tokens;
-        }
-        want.affinityKey = hash64(prompt[prompt.size() - 2].id, hash64(this->chooseModel()));
-    }
-    want.ownTokens = std::max(0, this->request.caller.promptTokens - want.sharedTokens);
-    return want;
-}
-
 Duration RelayRun::queuePatience() const
 {
     const Duration goalLeft = this->request.arrivedAt
@@ -171,7 +132,8 @@
 
 Acquired RelayRun::acquire()
 {
-    const UpstreamWant wanted = this->want();
+    const UpstreamWant wanted =
+        wantFor(this->request, this->chooseModel(), this->avoid, this->context.clock.now());
     Acquired acquired =
         this->context.upstreams.acquire(wanted, this->queuePatience(), this->queueCancelled);
     if (acquired.problem == AcquireProblem::NoUpstream && !this->avoid.empty()) {
--- a/kernel/src/relay/RelayRun.h
+++ b/kernel/src/relay/RelayRun.h
@@ -41,8 +41,6 @@
         bool versionMatters = false; ///< A roll-out of the service is under way.
     };
 
-    UpstreamWant want();
-    VersionFilter versions() const;
     /// The model to ask; empty when the caller has named one.
     const std::string &chooseModel();
     bool usesLargestModel() const;
--- /dev/null
+++ b/kernel/src/relay/RelayWant.cpp
@@ -0,0 +1,57 @@
+// Sessions decide by their own id, so that they stay on one side of a roll-out.
+#include "RelayWant.h"
+
+#include <base/Hash.h>
+
+#include <algorithm>
+
+namespace basilnotch {
+
+int sharedTokens(const CallerHeaders &caller)
+{
+    int tokens = 0;
+    for (std::size_t index = 0; index + 1 < caller.prompt.size(); ++index) {
+        tokens += caller.prompt[index].tokens;
+    }
+    return tokens;
+}
+
+VersionFilter versionsFor(const RelayRequest &request, TimePoint now)
+{
+    const auto found = request.view->rollouts.find(request.service);
+    if (found == request.view->rollouts.end()) {
+        return {};
+    }
+    const ActiveRollout &rollout = found->second;
+    if (rollout.state.phase == RolloutPhase::Completed) {
+        return {rollout.state.toVersion, false};
+    }
+    const Duration elapsed = now - rollout.startedAt;
+    const CallerHeaders &caller = request.caller;
+    const std::string &key = caller.session.empty() ? caller.requestId : caller.session;
+    const double share = rolloutShare(rollout.state, elapsed, request.view->bounds.exposureShare);
+    const bool stays = !caller.session.empty() && keepsSessions(rollout.state, elapsed);
+    const bool onNew = !rollout.held && !stays && fallsOnNew(key, share);
+    return {rollout.state.toVersion, !onNew};
+}
+
+UpstreamWant wantFor(const RelayRequest &request, const std::string &model,
+                     std::vector<std::string> avoid, TimePoint now)
+{
+    UpstreamWant want;
+    want.service = request.service;
+    want.versions = versionsFor(request, now);
+    want.avoid = std::move(avoid);
+    want.priority = request.priority;
+    want.isEngine = request.engine() != nullptr;
+    const std::vector<PromptPart> &prompt = request.caller.prompt;
+    if (prompt.size() > 1) {
+        // The last part is the request's own; the one before it is shared by the fewest others.
+        want.affinityKey = hash64(prompt[prompt.size() - 2].id, hash64(model));
+    }
+    want.sharedTokens = sharedTokens(request.caller);
+    want.ownTokens = std::max(0, request.caller.promptTokens - want.sharedTokens);
+    return want;
+}
+
+} // namespace basilnotch
--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -223,21 +223,12 @@
                 return callFailure("read body", this->peer, asio::error::operation_aborted,
                                    SendProgress::MaybeSent);
             }
-            auto &body = this->parser->get().body();
-            body.data = part.data();
-            body.size = part.size();
-            beast::tcp_stream &stream = this->connection->stream;
-            stream.expires_after(inClock(timeout));
-            const IoResult result = awaitIo([&](auto handler) {
-                http::async_read_some(stream, this->connection->buffer, *this->parser,
-                                      std::move(handler));
-            });
-            if (result.error && result.error != http::error::need_buffer) {
-                return callFailure("read body", this->peer, result.error, SendProgress::MaybeSent);
+            const absl::StatusOr<std::size_t> got = this->readInto(part, timeout);
+            if (!got.ok()) {
+                return got.status();
             }
-            const std::size_t got = part.size() - body.size;
-            if (got > 0) {
-                return std::string(part.data(), got);
+            if (*got > 0) {
+                return std::string(part.data(), *got);
             }
         }
         this->finish();
@@ -273,26 +264,35 @@
         return found == correlation.value;
     }
 
+    /// Reads the next bytes of the body; their number, which may be zero before its end.
+    absl::StatusOr<std::size_t> readInto(std::array<char, kReadBytes> &part, Duration timeout)
+    {
+        auto &body = this->parser->get().body();
+        body.data = part.data();
+        body.size = part.size();
+        beast::tcp_stream &stream = this->connection->stream;
+        stream.expires_after(inClock(timeout));
+        const IoResult result = awaitIo([&](auto handler) {
+            http::async_read_some(stream, this->connection->buffer, *this->parser,
+                                  std::move(handler));
+        });
+        if (result.error && result.error != http::error::need_buffer) {
+            return callFailure("read body", this->peer, result.error, SendProgress::MaybeSent);
+        }
+        return part.size() - body.size;
+    }
+
     absl::Status skipBody(Duration timeout)
     {
         if (this->parser->need_eof()) {
             return failure(absl::StatusCode::kDataLoss, "skip answer", this->peer.text(),
                            "an answer of another request without a length");
         }
+        std::array<char, kReadBytes> part; // NOLINT(cppcoreguidelines-pro-type-member-init)
         while (!this->parser->is_done()) {
-            std::array<char, kReadBytes> part; // NOLINT(cppcoreguidelines-pro-type-member-init)
-            auto &body = this->parser->get().body();
-            body.data = part.data();
-            body.size = part.size();
-            beast::tcp_stream &stream = this->connection->stream;
-            stream.expires_after(inClock(timeout));
-            const IoResult result = awaitIo([&](auto handler) {
-                http::async_read_some(stream, this->connection->buffer, *this->parser,
-                                      std::move(handler));
-            });
-            if (result.error && result.error != http::error::need_buffer) {
-                return callFailure("skip answer", this->peer, result.error,
-                                   SendProgress::MaybeSent);
+            const absl::StatusOr<std::size_t> got = this->readInto(part, timeout);
+            if (!got.ok()) {
+                return got.status();
             }
         }
         return absl::OkStatus();
--- a/tests/failure/Cluster.cpp
+++ b/tests/failure/Cluster.cpp
@@ -72,19 +72,6 @@
     std::fflush(stdout);
 }
 
-void inFiber(const std::function<void(FiberRuntime &)> &test)
-{
-    signal(SIGPIPE, SIG_IGN);
-    std::thread([&] {
-        FiberRuntime runtime;
-        runtime.post([&] {
-            test(runtime);
-            runtime.stop();
-        });
-        runtime.run();
-    }).join();
-}
-
 Cluster::Cluster(FiberRuntime &runtime, ClusterOptions given)
     : runtime(runtime)
     , options(std::move(given))
--- a/tests/failure/Cluster.h
+++ b/tests/failure/Cluster.h
@@ -2,6 +2,8 @@
 // instances, each of which can be killed, paused or cut on its own.
 #pragma once
 
+#include "../support/InFiber.h"
+
 #include <CallerClient.h>
 #include <CuttingRelay.h>
 #include <StandinServer.h>
@@ -99,9 +101,6 @@
     std::map<int, std::unique_ptr<CuttingRelay>> peerRelays;
 };
 
-/// Runs `test` in a fiber and returns when it has ended.
-void inFiber(const std::function<void(FiberRuntime &)> &test);
-
 /// Prints one line of the recovery table: what failed, how long until callers were served again,
 /// and what callers saw.
 void reportRecovery(const std::string &failure, double seconds, const std::string &seen);
