--- a/bench/capacity/DecisionCost.cpp
+++ b/bench/capacity/DecisionCost.cpp
@@ -1,5 +1,6 @@
 // Google Benchmark of one routing decision, by number of upstreams.
 #include <decision/Router.h>
+#include <decision/UpstreamPicker.h>
 
 #include <benchmark/benchmark.h>
 
@@ -40,6 +41,37 @@
     state.SetComplexityN(state.range(0));
 }
 
+/// The choice on a site, with a prompt that is shared.
+void pickUpstream(benchmark::State &state)
+{
+    ManualClock clock;
+    std::vector<UpstreamRef> upstreams;
+    for (int number = 0; number < state.range(0); ++number) {
+        UpstreamRecord record;
+        record.id = "i-" + std::to_string(number);
+        record.failureDomain = "d" + std::to_string(number % 8);
+        record.slots = 48;
+        upstreams.push_back(std::make_shared<const UpstreamRecord>(record));
+    }
+    UpstreamPicker picker({}, clock, 1);
+    PickQuery query;
+    query.candidates = upstreams;
+    query.affinityKey = 7;
+    query.ownTokens = 600;
+    query.sharedTokens = 900;
+    query.isEngine = true;
+    while (state.KeepRunning()) {
+        const Pick picked = picker.pick(query);
+        picker.onSent(*picked.upstream, query);
+        picker.onFirstByte(*picked.upstream, query);
+        picker.onEnded(*picked.upstream, query, true, AttemptResult::Good);
+        clock.advance(std::chrono::microseconds(500));
+    }
+    state.SetComplexityN(state.range(0));
+}
+
+BENCHMARK(pickUpstream)->Arg(12)->Arg(150)->Arg(600)->Complexity(benchmark::oN);
+
 BENCHMARK(chooseUpstream)
     ->Arg(12)
     ->Arg(75)
--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -36,8 +36,7 @@
     Duration perRunning = std::chrono::milliseconds(3); ///< Added delay for each running request.
     double nearBest = 0.1; ///< Scores within this share of the best count as equal.
     Duration nearBestSlack = std::chrono::milliseconds(2);
-    double fillLimit = 1.0;       ///< Of the slots, beyond which an upstream counts as full.
-    double mostPausedShare = 0.5; ///< Of a service's upstreams that may be left out as unhealthy.
+    double fillLimit = 1.0; ///< Of the slots, beyond which an upstream counts as full.
 };
 
 /// What a request needs of an upstream.
@@ -99,15 +98,37 @@
     };
 
     State &state(const UpstreamRecord &upstream);
-    double load(const UpstreamRecord &upstream, const State &state, int liveInstances) const;
+    double load(const State &state, int liveInstances) const;
+    /// A candidate with its expected delay; kept between calls, so that a decision allocates
+    /// nothing.
+    struct Scored
+    {
+        const UpstreamRef *upstream = nullptr;
+        double ms = 0;
+        bool isHealthy = true;
+        bool isFull = false;
+    };
+    /// The upstreams that are taken to hold the shared prompt of a request.
+    struct Homes
+    {
+        const UpstreamRecord *first = nullptr;
+        const UpstreamRecord *second = nullptr;
+    };
+
+    Homes homes(const PickQuery &query) const;
     double scoreMs(const UpstreamRecord &upstream, const State &state, const PickQuery &query,
-                   int affinityRank) const;
-    std::vector<const UpstreamRecord *> affinityOrder(const PickQuery &query) const;
+                   bool isHome) const;
+    /// Fills `scored` with the candidates that have not failed the request.
+    void scoreAll(const PickQuery &query);
+    /// One of the best of `scored` at random; null when none has room.
+    const UpstreamRef *pickNearBest(bool healthyOnly);
 
     const PickerOptions options;
     const Clock &clock;
     std::mt19937_64 random;
     std::map<std::string, State, std::less<>> states;
+    std::vector<Scored> scored;
+    std::vector<const UpstreamRef *> nearBest;
 };
 
 } // namespace basilnotch
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -6,15 +6,12 @@
 #include <base/Hash.h>
 
 #include <algorithm>
-#include <cmath>
+#include <limits>
 
 namespace basilnotch {
 
 namespace {
 
-constexpr int kHomes = 2; ///< Upstreams that are taken to hold a shared prompt.
-constexpr double kFullPenaltyMs = 1e6;
-
 double inMs(Duration value)
 {
     return std::chrono::duration<double, std::milli>(value).count();
@@ -25,11 +22,6 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-int uncachedTokens(const PickQuery &query, int affinityRank)
-{
-    return query.ownTokens + (affinityRank < kHomes ? 0 : query.sharedTokens);
-}
-
 } // namespace
 
 UpstreamPicker::UpstreamPicker(PickerOptions options, const Clock &clock, std::uint64_t seed)
@@ -49,10 +41,8 @@
     return found->second;
 }
 
-double UpstreamPicker::load(const UpstreamRecord &upstream, const State &state,
-                            int liveInstances) const
+double UpstreamPicker::load(const State &state, int liveInstances) const
 {
-    (void)upstream;
     const bool fresh = this->clock.now() - state.sampledAt < this->options.sampleAge
         && state.sampledAt != TimePoint{};
     if (!fresh) {
@@ -64,12 +54,13 @@
 }
 
 double UpstreamPicker::scoreMs(const UpstreamRecord &upstream, const State &state,
-                               const PickQuery &query, int affinityRank) const
+                               const PickQuery &query, bool isHome) const
 {
-    const double load = this->load(upstream, state, query.liveInstances);
+    const double load = this->load(state, query.liveInstances);
     double score = inMs(this->options.perRunning) * load;
     if (query.isEngine) {
-        const double tokens = state.unreadTokens + uncachedTokens(query, affinityRank);
+        const int uncached = query.ownTokens + (isHome ? 0 : query.sharedTokens);
+        const double tokens = state.unreadTokens + uncached;
         score += tokens / this->options.prefillTokensPerMs;
     }
     if (upstream.failureDomain != this->options.ownDomain) {
@@ -78,73 +69,81 @@
     return score * (1 + 2 * state.health.failureShare());
 }
 
-std::vector<const UpstreamRecord *> UpstreamPicker::affinityOrder(const PickQuery &query) const
+UpstreamPicker::Homes UpstreamPicker::homes(const PickQuery &query) const
 {
-    std::vector<std::pair<std::uint64_t, const UpstreamRecord *>> weighed;
-    weighed.reserve(query.candidates.size());
-    for (const UpstreamRef &candidate : query.candidates) {
-        weighed.emplace_back(hash64(candidate->id, query.affinityKey), candidate.get());
+    Homes homes;
+    std::uint64_t firstWeight = 0;
+    std::uint64_t secondWeight = 0;
+    if (query.affinityKey == 0) {
+        return homes;
     }
-    std::sort(weighed.begin(), weighed.end(), std::greater<>());
-    std::vector<const UpstreamRecord *> order;
-    order.reserve(weighed.size());
-    for (const auto &[weight, upstream] : weighed) {
-        order.push_back(upstream);
+    for (const UpstreamRef &candidate : query.candidates) {
+        const std::uint64_t weight = hash64(candidate->id, query.affinityKey);
+        if (!homes.first || weight > firstWeight) {
+            homes.second = homes.first;
+            secondWeight = firstWeight;
+            homes.first = candidate.get();
+            firstWeight = weight;
+        } else if (!homes.second || weight > secondWeight) {
+            homes.second = candidate.get();
+            secondWeight = weight;
+        }
     }
-    return order;
+    return homes;
 }
 
-Pick UpstreamPicker::pick(const PickQuery &query)
+void UpstreamPicker::scoreAll(const PickQuery &query)
 {
-    struct Scored
-    {
-        const UpstreamRef *upstream;
-        double score;
-        bool healthy;
-        bool full;
-    };
-    std::vector<Scored> scored;
-    const auto order =
-        query.affinityKey != 0 ? this->affinityOrder(query) : std::vector<const UpstreamRecord *>();
-    std::size_t healthyCount = 0;
+    this->scored.clear();
+    const Homes homes = this->homes(query);
     for (const UpstreamRef &candidate : query.candidates) {
         if (contains(query.avoid, candidate->id)) {
             continue;
         }
         const State &state = this->state(*candidate);
-        const auto rank = std::find(order.begin(), order.end(), candidate.get()) - order.begin();
-        const bool onTrial = state.health.isOnTrial() && state.inFlight > 0;
-        const bool healthy = !state.health.isPaused() && !onTrial;
-        const double load = this->load(*candidate, state, query.liveInstances);
+        const bool isHome = candidate.get() == homes.first || candidate.get() == homes.second;
+        const bool isTried = state.health.isOnTrial() && state.inFlight > 0;
         const double room = std::max(1.0, this->options.fillLimit * candidate->slots);
-        healthyCount += healthy ? 1 : 0;
-        scored.push_back({&candidate,
-                          this->scoreMs(*candidate, state, query, static_cast<int>(rank)), healthy,
-                          load >= room});
+        Scored item;
+        item.upstream = &candidate;
+        item.ms = this->scoreMs(*candidate, state, query, isHome);
+        item.isHealthy = !state.health.isPaused() && !isTried;
+        item.isFull = this->load(state, query.liveInstances) >= room;
+        this->scored.push_back(item);
     }
-    if (scored.empty()) {
-        return {nullptr, PickProblem::NoUpstream};
-    }
-    const auto mustRemain = static_cast<std::size_t>(
-        std::ceil((1 - this->options.mostPausedShare) * static_cast<double>(scored.size())));
-    const bool ignoreHealth = healthyCount < std::min<std::size_t>(mustRemain, 1);
-    double best = kFullPenaltyMs;
-    for (const Scored &item : scored) {
-        if (!item.full && (item.healthy || ignoreHealth)) {
-            best = std::min(best, item.score);
-        }
-    }
-    if (best >= kFullPenaltyMs) {
-        return {nullptr, PickProblem::AllFull};
+}
+
+const UpstreamRef *UpstreamPicker::pickNearBest(bool healthyOnly)
+{
+    const auto isUsable = [healthyOnly](const Scored &item) {
+        return !item.isFull && (item.isHealthy || !healthyOnly);
+    };
+    double best = std::numeric_limits<double>::infinity();
+    for (const Scored &item : this->scored) {
+        best = isUsable(item) ? std::min(best, item.ms) : best;
     }
     const double limit = best * (1 + this->options.nearBest) + inMs(this->options.nearBestSlack);
-    std::vector<const UpstreamRef *> near;
-    for (const Scored &item : scored) {
-        if (!item.full && (item.healthy || ignoreHealth) && item.score <= limit) {
-            near.push_back(item.upstream);
+    this->nearBest.clear();
+    for (const Scored &item : this->scored) {
+        if (isUsable(item) && item.ms <= limit) {
+            this->nearBest.push_back(item.upstream);
         }
     }
-    return {*near[this->random() % near.size()], PickProblem::None};
+    return this->nearBest.empty() ? nullptr
+                                  : this->nearBest[this->random() % this->nearBest.size()];
+}
+
+Pick UpstreamPicker::pick(const PickQuery &query)
+{
+    this->scoreAll(query);
+    if (this->scored.empty()) {
+        return {nullptr, PickProblem::NoUpstream};
+    }
+    const bool anyHealthy = std::any_of(this->scored.begin(), this->scored.end(),
+                                        [](const Scored &item) { return item.isHealthy; });
+    // When all look sick it is likelier that this instance misjudges them.
+    const UpstreamRef *picked = this->pickNearBest(anyHealthy);
+    return picked ? Pick{*picked, PickProblem::None} : Pick{nullptr, PickProblem::AllFull};
 }
 
 void UpstreamPicker::onSent(const UpstreamRecord &upstream, const PickQuery &query)
@@ -194,7 +193,7 @@
         const auto found = this->states.find(candidate->id);
         places += candidate->slots;
         if (found != this->states.end()) {
-            taken += this->load(*candidate, found->second, liveInstances);
+            taken += this->load(found->second, liveInstances);
         }
     }
     return places > 0 ? taken / places : 1;
