What can't get a place in time is refused at once, with when to come back

Cause: a request waited half of its goal for a place even behind a queue that could not be served in it, and each refusal said 250 ms. Change: QueueForecast (interval between freed places times the number ahead).

--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -161,6 +161,9 @@
         }
         Acquired acquired = this->acquire();
         if (!acquired.lease) {
+            if (acquired.problem == AcquireProblem::TooBusy) {
+                this->comeBackAfter = acquired.comeBackAfter;
+            }
             if (acquired.problem != AcquireProblem::Cancelled) {
                 this->giveUp(acquired.problem == AcquireProblem::NoUpstream ? "no upstream"
                                                                             : "upstreams busy");
@@ -425,7 +428,7 @@
         return;
     }
     if (const std::optional<NotRunProof> proof = this->ledger.proof()) {
-        this->refuse(*proof, reason, kComeBackSoon);
+        this->refuse(*proof, reason, this->comeBackAfter.value_or(kComeBackSoon));
         return;
     }
     this->answerFailure(
--- a/kernel/src/relay/RelayRun.h
+++ b/kernel/src/relay/RelayRun.h
@@ -83,6 +83,7 @@
     int sends = 0;    ///< That an upstream may have seen.
     int contacts = 0; ///< Connections that were tried.
     std::string lastProblem;
+    std::optional<Duration> comeBackAfter; ///< When a place may be free, if that is known.
 };
 
 } // namespace basilnotch
--- a/kernel/src/relay/UpstreamDesk.cpp
+++ b/kernel/src/relay/UpstreamDesk.cpp
@@ -2,6 +2,8 @@
 // slip in.
 #include "UpstreamDesk.h"
 
+#include <algorithm>
+
 namespace basilnotch {
 
 UpstreamLease::UpstreamLease(UpstreamDesk &desk, UpstreamRef upstream, const UpstreamWant &want)
@@ -14,6 +16,7 @@
 {
     this->desk.picker.onEnded(*this->held, this->desk.query(this->want), this->sawFirstByte,
                               this->result);
+    this->desk.forecast(this->held->service).onPlaceFreed();
     this->desk.pump();
 }
 
@@ -72,19 +75,36 @@
     return picked;
 }
 
+QueueForecast &UpstreamDesk::forecast(const std::string &service)
+{
+    return this->forecasts.try_emplace(service, QueueForecastOptions(), this->clock).first->second;
+}
+
+std::size_t UpstreamDesk::ahead(const UpstreamWant &want) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->waiters.begin(), this->waiters.end(), [&](const Waiter *waiter) {
+            return waiter->want.service == want.service && waiter->want.priority <= want.priority;
+        }));
+}
+
 Acquired UpstreamDesk::acquire(const UpstreamWant &want, Duration longestWait,
                                const FiberEvent &cancelled)
 {
     Pick picked = this->pick(want);
     if (picked.upstream) {
         return {std::make_unique<UpstreamLease>(*this, std::move(picked.upstream), want),
-                AcquireProblem::None};
+                AcquireProblem::None,
+                {}};
     }
     if (picked.problem == PickProblem::NoUpstream) {
-        return {nullptr, AcquireProblem::NoUpstream};
+        return {nullptr, AcquireProblem::NoUpstream, {}};
     }
-    if (longestWait <= Duration::zero()) {
-        return {nullptr, AcquireProblem::TooBusy};
+    const std::size_t before = this->ahead(want);
+    const QueueForecast &expected = this->forecast(want.service);
+    if (expected.wait(before).value_or(Duration::zero()) > longestWait
+        || longestWait <= Duration::zero()) {
+        return {nullptr, AcquireProblem::TooBusy, expected.comeBackAfter(before)};
     }
     Waiter waiter{want, cancelled, nullptr};
     auto place = this->waiters.begin();
@@ -96,10 +116,12 @@
     if (waiter.given) {
         cancelled.reset();
         return {std::make_unique<UpstreamLease>(*this, std::move(waiter.given), want),
-                AcquireProblem::None};
+                AcquireProblem::None,
+                {}};
     }
     this->waiters.erase(own);
-    return {nullptr, cancelled.isSet() ? AcquireProblem::Cancelled : AcquireProblem::TooBusy};
+    return {nullptr, cancelled.isSet() ? AcquireProblem::Cancelled : AcquireProblem::TooBusy,
+            this->forecast(want.service).comeBackAfter(this->ahead(want))};
 }
 
 void UpstreamDesk::pump()
--- a/kernel/src/relay/UpstreamDesk.h
+++ b/kernel/src/relay/UpstreamDesk.h
@@ -1,10 +1,12 @@
 // Gives each request an upstream, or a place in a queue until one has room.
 #pragma once
 
+#include <decision/QueueForecast.h>
 #include <decision/UpstreamPicker.h>
 #include <runtime/FiberEvent.h>
 
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -74,6 +76,7 @@
 {
     std::unique_ptr<UpstreamLease> lease; ///< Null when there is a problem.
     AcquireProblem problem = AcquireProblem::None;
+    Duration comeBackAfter{}; ///< Set when it is too busy: when a place may be free.
 };
 
 /// Traffic thread only.
@@ -83,7 +86,8 @@
     UpstreamDesk(PickerOptions options, const Clock &clock, std::uint64_t seed);
 
     void setUpstreams(std::shared_ptr<const UpstreamList> list, int liveInstances);
-    /// Blocks the calling fiber for at most `longestWait`; `cancelled` ends the wait early.
+    /// Blocks the calling fiber for at most `longestWait`; `cancelled` ends the wait early. Says at
+    /// once that it is too busy when the queue is longer than that.
     Acquired acquire(const UpstreamWant &want, Duration longestWait, const FiberEvent &cancelled);
     /// Ends the wait of the request that `cancelled` belongs to.
     void wake(const FiberEvent &cancelled) const { cancelled.set(); }
@@ -104,6 +108,9 @@
     };
 
     Pick pick(const UpstreamWant &want);
+    QueueForecast &forecast(const std::string &service);
+    /// Waiting requests that would go before `want`.
+    std::size_t ahead(const UpstreamWant &want) const;
     PickQuery query(const UpstreamWant &want) const;
 
     const Clock &clock;
@@ -112,6 +119,7 @@
     int liveInstances = 1;
     std::list<Waiter *> waiters;         ///< Most urgent first, then in order of arrival.
     std::vector<UpstreamRef> candidates; ///< Scratch of pick().
+    std::map<std::string, QueueForecast> forecasts; ///< By service.
 };
 
 } // namespace basilnotch
