--- a/kernel/src/relay/UpstreamDesk.cpp
+++ b/kernel/src/relay/UpstreamDesk.cpp
@@ -139,9 +139,4 @@
     }
 }
 
-double UpstreamDesk::occupancy(const std::string &service) const
-{
-    return this->picker.occupancy(this->list->ready(service), this->liveInstances);
-}
-
 } // namespace basilnotch
--- a/kernel/src/relay/UpstreamDesk.h
+++ b/kernel/src/relay/UpstreamDesk.h
@@ -89,13 +89,8 @@
     /// Blocks the calling fiber for at most `longestWait`; `cancelled` ends the wait early. Says at
     /// once that it is too busy when the queue is longer than that.
     Acquired acquire(const UpstreamWant &want, Duration longestWait, const FiberEvent &cancelled);
-    /// Ends the wait of the request that `cancelled` belongs to.
-    void wake(const FiberEvent &cancelled) const { cancelled.set(); }
-    std::size_t waiting() const { return this->waiters.size(); }
     /// Tries to give waiting requests a place.
     void pump();
-    /// Part of the service's places that are taken.
-    double occupancy(const std::string &service) const;
 
 private:
     friend class UpstreamLease;
--- a/kernel/src/site/RecordFeed.cpp
+++ b/kernel/src/site/RecordFeed.cpp
@@ -105,7 +105,6 @@
 {
     const TimePoint now = this->clock.now();
     this->clockOffset = page.storeTime - now.time_since_epoch();
-    this->lastAnswer = now;
     if (this->failures == 0) {
         return;
     }
--- a/kernel/src/site/RecordFeed.h
+++ b/kernel/src/site/RecordFeed.h
@@ -57,8 +57,6 @@
     bool storeAnswers() const { return this->failures == 0; }
     /// The store's clock now, as far as known; nothing before its first answer.
     std::optional<Duration> storeTime() const;
-    /// When the store last answered.
-    TimePoint heardAt() const { return this->lastAnswer; }
 
 private:
     void follow(const std::string &table);
@@ -81,7 +79,6 @@
     std::map<std::string, FiberEvent> watching; ///< By table; set while it is watched.
     int failures = 0;                           ///< In a row, over all tables.
     TimePoint lostAt{};
-    TimePoint lastAnswer{};
     std::optional<Duration> clockOffset; ///< The store's clock less ours.
 };
 
--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -79,8 +79,6 @@
     void onLoad(const UpstreamRecord &upstream, const LoadSample &sample);
     /// Forgets upstreams that are not in `list`.
     void retain(const UpstreamList &list);
-    /// Occupied and all places of `candidates` as far as known.
-    double occupancy(std::span<const UpstreamRef> candidates, int liveInstances) const;
 
 private:
     struct State
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -185,18 +185,4 @@
     });
 }
 
-double UpstreamPicker::occupancy(std::span<const UpstreamRef> candidates, int liveInstances) const
-{
-    double taken = 0;
-    double places = 0;
-    for (const UpstreamRef &candidate : candidates) {
-        const auto found = this->states.find(candidate->id);
-        places += candidate->slots;
-        if (found != this->states.end()) {
-            taken += this->load(found->second, liveInstances);
-        }
-    }
-    return places > 0 ? taken / places : 1;
-}
-
 } // namespace basilnotch
