--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -106,14 +106,8 @@
         bool isHealthy = true;
         bool isFull = false;
     };
-    /// The upstreams that are taken to hold the shared prompt of a request.
-    struct Homes
-    {
-        const UpstreamRecord *first = nullptr;
-        const UpstreamRecord *second = nullptr;
-    };
-
-    Homes homes(const PickQuery &query) const;
+    /// The upstream that is taken to hold the shared prompt of a request; null without one.
+    static const UpstreamRecord *home(const PickQuery &query);
     double scoreMs(const UpstreamRecord &upstream, const State &state, const PickQuery &query,
                    bool isHome) const;
     /// Fills `scored` with the candidates that have not failed the request.
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -1,6 +1,5 @@
-// Rendezvous hashing gives each shared prompt a first and a second home that all instances agree
-// on; the delay of reading it again elsewhere stands in the score, so a home that is behind is
-// passed by.
+// Rendezvous hashing gives each shared prompt a home that all instances agree on; the delay of
+// reading it again elsewhere stands in the score, so a home that is behind is passed by.
 #include <decision/UpstreamPicker.h>
 
 #include <base/Hash.h>
@@ -69,39 +68,33 @@
     return score * (1 + 2 * state.health.failureShare());
 }
 
-UpstreamPicker::Homes UpstreamPicker::homes(const PickQuery &query) const
+const UpstreamRecord *UpstreamPicker::home(const PickQuery &query)
 {
-    Homes homes;
-    std::uint64_t firstWeight = 0;
-    std::uint64_t secondWeight = 0;
+    const UpstreamRecord *home = nullptr;
+    std::uint64_t heaviest = 0;
     if (query.affinityKey == 0) {
-        return homes;
+        return home;
     }
     for (const UpstreamRef &candidate : query.candidates) {
         const std::uint64_t weight = hash64(candidate->id, query.affinityKey);
-        if (!homes.first || weight > firstWeight) {
-            homes.second = homes.first;
-            secondWeight = firstWeight;
-            homes.first = candidate.get();
-            firstWeight = weight;
-        } else if (!homes.second || weight > secondWeight) {
-            homes.second = candidate.get();
-            secondWeight = weight;
+        if (!home || weight > heaviest) {
+            home = candidate.get();
+            heaviest = weight;
         }
     }
-    return homes;
+    return home;
 }
 
 void UpstreamPicker::scoreAll(const PickQuery &query)
 {
     this->scored.clear();
-    const Homes homes = this->homes(query);
+    const UpstreamRecord *home = UpstreamPicker::home(query);
     for (const UpstreamRef &candidate : query.candidates) {
         if (contains(query.avoid, candidate->id)) {
             continue;
         }
         const State &state = this->state(*candidate);
-        const bool isHome = candidate.get() == homes.first || candidate.get() == homes.second;
+        const bool isHome = candidate.get() == home;
         const bool isTried = state.health.isOnTrial() && state.inFlight > 0;
         const double room = std::max(1.0, this->options.fillLimit * candidate->slots);
         Scored item;
--- a/libs/decision/tests/PickerTest.cpp
+++ b/libs/decision/tests/PickerTest.cpp
@@ -118,7 +118,7 @@
     CHECK(world.picker.pick(avoiding).problem == PickProblem::NoUpstream);
 }
 
-TEST_CASE("requests that share a prompt stay on its homes until those are behind")
+TEST_CASE("requests that share a prompt stay at its home until that is behind")
 {
     PickerWorld world(9, 64);
     PickQuery query = world.query();
@@ -130,7 +130,7 @@
     for (int count = 0; count < 40; ++count) {
         homes.insert(world.picker.pick(query).upstream->id);
     }
-    CHECK(homes.size() <= 2);
+    CHECK(homes.size() == 1);
     for (const std::string &home : homes) {
         for (const UpstreamRef &upstream : world.upstreams) {
             if (upstream->id == home) {
@@ -141,7 +141,7 @@
     CHECK(homes.count(world.picker.pick(query).upstream->id) == 0);
 }
 
-TEST_CASE("all instances agree on the homes of a prompt")
+TEST_CASE("all instances agree on the home of a prompt")
 {
     PickerWorld first(9, 64);
     PickerWorld second(9, 64);
@@ -157,7 +157,7 @@
             homes.insert(second.picker.pick(query).upstream->id);
             query.candidates = first.upstreams;
         }
-        CHECK(homes.size() <= 2);
+        CHECK(homes.size() == 1);
     }
 }
 
