A version whose roll-out was replaced by another order stays closed

Ruled out: sessions without an id (all carry one); the schedule's share (it never falls). Change: a roll-out's record carries the versions that earlier ones did not complete.

--- a/kernel/src/relay/RelayWant.cpp
+++ b/kernel/src/relay/RelayWant.cpp
@@ -24,7 +24,7 @@
     }
     const ActiveRollout &rollout = found->second;
     if (rollout.state.phase == RolloutPhase::Completed) {
-        return {rollout.state.toVersion, false};
+        return {rollout.state.toVersion, {}};
     }
     const Duration elapsed = now - rollout.startedAt;
     const CallerHeaders &caller = request.caller;
@@ -32,7 +32,8 @@
     const double share = rolloutShare(rollout.state, elapsed, request.view->bounds.exposureShare);
     const bool stays = !caller.session.empty() && keepsSessions(rollout.state, elapsed);
     const bool onNew = !rollout.held && !stays && fallsOnNew(key, share);
-    return {rollout.state.toVersion, !onNew};
+    return onNew ? VersionFilter{rollout.state.toVersion, {}}
+                 : VersionFilter{"", rollout.state.closedVersions()};
 }
 
 UpstreamWant wantFor(const RelayRequest &request, const std::string &model,
--- a/kernel/src/relay/UpstreamDesk.h
+++ b/kernel/src/relay/UpstreamDesk.h
@@ -5,6 +5,7 @@
 #include <decision/UpstreamPicker.h>
 #include <runtime/FiberEvent.h>
 
+#include <algorithm>
 #include <list>
 #include <map>
 #include <memory>
@@ -17,13 +18,16 @@
 /// Which of the versions of a service a request may use while a roll-out is under way.
 struct VersionFilter
 {
-    std::string version;  ///< Empty: all versions.
-    bool exclude = false; ///< All but `version`.
+    std::string only;                ///< Empty: all versions that are not closed.
+    std::vector<std::string> closed; ///< Versions that get nothing.
 
     bool allows(const UpstreamRecord &upstream) const
     {
-        return this->version.empty()
-            || (upstream.softwareVersion == this->version) != this->exclude;
+        const std::string &version = upstream.softwareVersion;
+        if (!this->only.empty()) {
+            return version == this->only;
+        }
+        return std::find(this->closed.begin(), this->closed.end(), version) == this->closed.end();
     }
 };
 
--- a/kernel/src/site/RolloutDesk.cpp
+++ b/kernel/src/site/RolloutDesk.cpp
@@ -30,7 +30,12 @@
 std::string printState(const RolloutState &state)
 {
     const auto nanos = [](Duration value) { return static_cast<std::int64_t>(value.count()); };
-    return json::serialize(json::object{{"service", state.service},
+    json::array abandoned;
+    for (const std::string &version : state.abandoned) {
+        abandoned.emplace_back(version);
+    }
+    return json::serialize(json::object{{"abandoned", std::move(abandoned)},
+                                        {"service", state.service},
                                         {"to", state.toVersion},
                                         {"order", state.order},
                                         {"phase", static_cast<int>(state.phase)},
@@ -64,9 +69,28 @@
     state.phase = static_cast<RolloutPhase>(phase);
     state.startedAt = Duration(number("startedNs"));
     state.deadline = Duration(number("deadlineNs"));
+    const json::value *abandoned = object.if_contains("abandoned");
+    if (abandoned && abandoned->is_array()) {
+        for (const json::value &item : abandoned->as_array()) {
+            if (item.is_string()) {
+                state.abandoned.emplace_back(item.as_string());
+            }
+        }
+    }
     return state;
 }
 
+/// What stays closed when an order to `next` replaces the roll-out before it, if there was one.
+std::vector<std::string> closedBefore(const RolloutState &before, const std::string &next)
+{
+    if (before.order == 0) {
+        return {};
+    }
+    std::vector<std::string> closed = before.closedVersions();
+    std::erase(closed, next);
+    return closed;
+}
+
 std::string joinName(std::initializer_list<std::string> parts)
 {
     return absl::StrJoin(parts, std::string(1, kSeparator));
@@ -285,6 +309,7 @@
     next.order = known.orderVersion;
     next.deadline = known.order.deadline;
     next.startedAt = storeTime - (this->clock.now() - known.orderedAt);
+    next.abandoned = closedBefore(known.state, known.order.toVersion);
     this->commit(known, next);
 }
 
@@ -336,6 +361,7 @@
             // Ordered, not begun: the new version gets nothing yet.
             rollout.state.service = service;
             rollout.state.toVersion = known.order.toVersion;
+            rollout.state.abandoned = closedBefore(known.state, known.order.toVersion);
             rollout.held = true;
         }
         active.emplace(service, std::move(rollout));
--- a/libs/decision/include/decision/RolloutSchedule.h
+++ b/libs/decision/include/decision/RolloutSchedule.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace basilnotch {
 
@@ -25,6 +26,12 @@
     RolloutPhase phase = RolloutPhase::InProgress;
     Duration startedAt{}; ///< By the store's clock.
     Duration deadline{};  ///< From the start.
+    /// Versions of earlier roll-outs that were not completed: they get no work, though their
+    /// upstreams may still be there.
+    std::vector<std::string> abandoned;
+
+    /// Versions that no work may go to unless it falls on the new one.
+    std::vector<std::string> closedVersions() const;
 };
 
 struct RolloutScheduleOptions
--- a/libs/decision/src/RolloutSchedule.cpp
+++ b/libs/decision/src/RolloutSchedule.cpp
@@ -16,6 +16,15 @@
 
 } // namespace
 
+std::vector<std::string> RolloutState::closedVersions() const
+{
+    std::vector<std::string> closed = this->abandoned;
+    if (this->phase != RolloutPhase::Completed) {
+        closed.push_back(this->toVersion);
+    }
+    return closed;
+}
+
 double rolloutShare(const RolloutState &state, Duration elapsed, double exposureShare,
                     const RolloutScheduleOptions &options)
 {
