--- a/kernel/src/control/ControlThread.cpp
+++ b/kernel/src/control/ControlThread.cpp
@@ -38,14 +38,6 @@
 constexpr std::size_t kSpansPerExport = 512;
 constexpr Duration kFetchTimeout = milliseconds(500);
 
-std::uint64_t firstMemberVersion(const Clock &clock)
-{
-    // Grows with each start, so that a new process of a name speaks above the old one.
-    const auto millis =
-        std::chrono::duration_cast<milliseconds>(clock.wallNow().time_since_epoch()).count();
-    return static_cast<std::uint64_t>(millis) * 2;
-}
-
 } // namespace
 
 bool RulesStatus::accepted() const
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -47,14 +47,6 @@
             site.peers,    site.failureDomain, MemberState::Alive};
 }
 
-/// Grows with each start, so that a new process of a name speaks above the old one.
-std::uint64_t firstMemberVersion(const Clock &clock)
-{
-    const auto millis =
-        std::chrono::duration_cast<milliseconds>(clock.wallNow().time_since_epoch()).count();
-    return static_cast<std::uint64_t>(millis) * 2;
-}
-
 std::string_view stateName(MemberState state)
 {
     switch (state) {
--- a/libs/membership/include/membership/MemberTable.h
+++ b/libs/membership/include/membership/MemberTable.h
@@ -1,6 +1,7 @@
 // Who is there: a view of the Member rumors. Silence makes a member unknown, never stopped.
 #pragma once
 
+#include <base/Clock.h>
 #include <base/Failure.h>
 #include <membership/RumorStore.h>
 #include <settings/Settings.h>
@@ -27,6 +28,10 @@
     MemberState state = MemberState::Alive;
 };
 
+/// Version of a member's first rumor. It grows with each start, so that a new process of a name
+/// speaks above the old one.
+std::uint64_t firstMemberVersion(const Clock &clock);
+
 /// Versions of Member rumors: an even one is the member's own word, the odd one above it another's
 /// suspicion, which the member refutes with the next even one.
 Rumor memberRumor(const Member &member, std::uint64_t version);
--- a/libs/membership/src/MemberTable.cpp
+++ b/libs/membership/src/MemberTable.cpp
@@ -11,6 +11,13 @@
 
 } // namespace
 
+std::uint64_t firstMemberVersion(const Clock &clock)
+{
+    const auto millis =
+        std::chrono::duration_cast<milliseconds>(clock.wallNow().time_since_epoch()).count();
+    return static_cast<std::uint64_t>(millis) * 2;
+}
+
 Rumor memberRumor(const Member &member, std::uint64_t version)
 {
     const nlohmann::json fields{member.incarnation, member.callers.text(), member.peers.text(),
