--- a/libs/runtime/tests/HttpTest.cpp
+++ b/libs/runtime/tests/HttpTest.cpp
@@ -234,7 +234,8 @@
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
         inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-        REQUIRE(::bind(this->listener, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0);
+        REQUIRE(::bind(this->listener, reinterpret_cast<sockaddr *>(&address), sizeof(address))
+                == 0);
         REQUIRE(::listen(this->listener, 4) == 0);
         this->thread = std::thread([this] { this->serve(); });
     }
@@ -272,8 +273,8 @@
 
 std::string scripted(const std::string &id, const std::string &body, const std::string &more = "")
 {
-    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + more + "Content-Length: "
-        + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + more
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 /// Bodies that requests with these ids got, one after the other; "error" where there was none.
@@ -305,7 +306,8 @@
 TEST_CASE("an answer of an earlier request is skipped, also when it comes where ours is expected")
 {
     const std::uint16_t port = kPort + 40;
-    ScriptedPeer peer(port, {scripted("1", "one"), scripted("1", "one again") + scripted("2", "two")});
+    ScriptedPeer peer(port,
+                      {scripted("1", "one"), scripted("1", "one again") + scripted("2", "two")});
     CHECK(bodiesFor(port, {"1", "2"}) == std::vector<std::string>{"one", "two"});
 }
 
@@ -327,9 +329,11 @@
 TEST_CASE("a peer that states its idle timeout is not sent anything shortly before it")
 {
     const std::uint16_t port = kPort + 43;
-    // A connection of one second is left half a second early; the next request comes on another one.
-    ScriptedPeer peer(port, {scripted("1", "one", "Keep-Alive: timeout=0\r\n"),
-                             scripted("2", "two", "Keep-Alive: timeout=0\r\n")});
+    // A connection of one second is left half a second early; the next request comes on another
+    // one.
+    ScriptedPeer peer(port,
+                      {scripted("1", "one", "Keep-Alive: timeout=0\r\n"),
+                       scripted("2", "two", "Keep-Alive: timeout=0\r\n")});
     CHECK(bodiesFor(port, {"1", "2"}) == std::vector<std::string>{"one", "two"});
 }
 
@@ -351,9 +355,9 @@
               std::string("Content-Length: -1\r\n"), std::string("Content-Length: 4x\r\n"),
               std::string("Bad Header : x\r\n"), std::string("X\x01Y: z\r\n")}) {
             INFO(head);
-            const std::string answer = rawFromFiber(
-                runtime, port,
-                "POST /x HTTP/1.1\r\nHost: a\r\n" + head + "\r\nGET /smuggled HTTP/1.1\r\n\r\n");
+            const std::string answer = rawFromFiber(runtime, port,
+                                                    "POST /x HTTP/1.1\r\nHost: a\r\n" + head
+                                                        + "\r\nGET /smuggled HTTP/1.1\r\n\r\n");
             CHECK(answer.starts_with("HTTP/1.1 400"));
             CHECK(answer.find("HTTP/1.1", 5) == std::string::npos); // One answer, no second one.
         }
