One conversion to milliseconds, one way for news of records, one list of tables and of system headers

A starting instance announced itself twice, by start() and by the first tick: one write is left. 20 groups of tests that touch it pass.

--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -36,11 +36,6 @@
 constexpr double kFirstTryPart = 0.45;
 constexpr Duration kComeBackSoon = milliseconds(250); ///< After a refusal by a moment's shortage.
 
-std::int64_t inMillis(Duration value)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 bool isEventStream(const HttpHeaders &headers)
 {
     const std::string_view type = headers.find("Content-Type");
@@ -467,8 +462,8 @@
          {"sends", std::int64_t{this->sends}},
          {"lastUpstream", upstream},
          {"events", this->stream.events()},
-         {"tookMs", inMillis(this->context.clock.now() - this->request.arrivedAt)},
-         {"leftMs", inMillis(this->timeLeft())}});
+         {"tookMs", wholeMillis(this->context.clock.now() - this->request.arrivedAt)},
+         {"leftMs", wholeMillis(this->timeLeft())}});
 }
 
 } // namespace basilnotch
--- a/kernel/src/site/RecordFeed.cpp
+++ b/kernel/src/site/RecordFeed.cpp
@@ -11,11 +11,6 @@
 
 constexpr int kFailuresUntilAway = 2; // One failed call may be a cut connection.
 
-std::int64_t inMillis(Duration value)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 } // namespace
 
 RecordFeed::RecordFeed(FiberRuntime &runtime, RecordStore &store, std::vector<std::string> tables,
@@ -112,7 +107,7 @@
     this->failures = 0;
     if (wasAway) {
         this->log.write(LogKind::State, "store regained",
-                        {{"awayMs", inMillis(now - this->lostAt)},
+                        {{"awayMs", wholeMillis(now - this->lostAt)},
                          {"version", static_cast<std::int64_t>(page.version)}});
         this->available.set();
         this->listener.access(true);
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -47,6 +47,13 @@
             site.peers,    site.failureDomain, MemberState::Alive};
 }
 
+std::vector<std::string> allTables(const RecordCodec &codec)
+{
+    std::vector<std::string> tables = codec.watchedTables();
+    tables.emplace_back(kOwnTable);
+    return tables;
+}
+
 std::string_view stateName(MemberState state)
 {
     switch (state) {
@@ -73,6 +80,7 @@
     , peerSettings(peerPart(this->settings))
     , client(this->runtime)
     , store(adapter.makeStore(this->client))
+    , tables(allTables(adapter.codec()))
     , presence({}, clock)
     , gossip(memberOf(this->settings, this->incarnation), firstMemberVersion(clock), {}, clock,
              hash64(this->incarnation))
@@ -81,23 +89,13 @@
             [this](const Record &record) { return this->takeRecord(record, "peer"); })
     , rollouts(this->runtime, *this->store, adapter.codec(), this->gossip, clock, log)
     , feed(
-          this->runtime, *this->store,
-          [&] {
-              std::vector<std::string> tables = adapter.codec().watchedTables();
-              tables.emplace_back(kOwnTable);
-              return tables;
-          }(),
-          {},
+          this->runtime, *this->store, this->tables, {},
           {[this](const std::string &table, const RecordPage &page) { this->onTable(table, page); },
            [this](const std::string &, const RecordPage &page) { this->onChanges(page); },
            [this](bool answers) { this->onStoreAccess(answers); }},
           clock, log, metrics, hash64(this->incarnation, 1))
 {
-    for (const Endpoint &seed : this->settings.seeds) {
-        if (seed != this->settings.peers) {
-            this->gossip.addSeed(seed.text(), seed);
-        }
-    }
+    this->addSeeds();
     this->peers.onRumors([this] { this->onRumors(); });
 }
 
@@ -117,7 +115,6 @@
     this->feed.start();
     this->every(kGossipInterval, [this] { this->peers.gossipRound(); });
     this->every(kTickInterval, [this] { this->tick(); });
-    this->runtime.post([this] { this->announceSelf(); });
     this->publish();
     this->thread = std::thread([this] { this->runtime.run(); });
     return absl::OkStatus();
@@ -133,6 +130,15 @@
     });
 }
 
+void SiteControl::addSeeds()
+{
+    for (const Endpoint &seed : this->settings.seeds) {
+        if (seed != this->settings.peers) {
+            this->gossip.addSeed(seed.text(), seed);
+        }
+    }
+}
+
 void SiteControl::announceSelf()
 {
     const json::object body{{"peers", this->settings.peers.text()}};
@@ -168,9 +174,7 @@
         }
     }
     const auto count = static_cast<int>(candidates.size());
-    std::vector<std::string> tables = this->adapter.codec().watchedTables();
-    tables.emplace_back(kOwnTable);
-    for (const std::string &table : tables) {
+    for (const std::string &table : this->tables) {
         const std::uint64_t own = hash64(this->settings.instance, hash64(table));
         int before = 0;
         for (const std::string &name : candidates) {
@@ -184,31 +188,18 @@
 
 void SiteControl::onTable(const std::string &table, const RecordPage &page)
 {
-    const std::vector<Record> changed = this->replica.mergeTable(table, page);
-    for (const Record &record : changed) {
-        this->applyFact(record, "store");
-        this->relay.tell(record);
-    }
-    if (!changed.empty()) {
-        this->publish();
-        this->spreadNews();
-    }
+    this->takeNews(this->replica.mergeTable(table, page), "store");
 }
 
 void SiteControl::onChanges(const RecordPage &page)
 {
-    bool changed = false;
+    std::vector<Record> changed;
     for (const Record &record : page.records) {
         if (this->replica.merge(record)) {
-            this->applyFact(record, "store");
-            this->relay.tell(record);
-            changed = true;
+            changed.push_back(record);
         }
     }
-    if (changed) {
-        this->publish();
-        this->spreadNews();
-    }
+    this->takeNews(changed, "store");
 }
 
 bool SiteControl::takeRecord(const Record &record, std::string_view from)
@@ -216,11 +207,21 @@
     if (!this->replica.merge(record)) {
         return false;
     }
-    this->applyFact(record, from);
-    this->relay.tell(record);
+    this->takeNews({record}, from);
+    return true;
+}
+
+void SiteControl::takeNews(const std::vector<Record> &changed, std::string_view from)
+{
+    if (changed.empty()) {
+        return;
+    }
+    for (const Record &record : changed) {
+        this->applyFact(record, from);
+        this->relay.tell(record);
+    }
     this->publish();
     this->spreadNews();
-    return true;
 }
 
 void SiteControl::spreadNews()
@@ -404,11 +405,7 @@
     this->runtime.post([this, next = std::move(next)] {
         this->settings.bounds = next.bounds;
         this->settings.seeds = next.seeds;
-        for (const Endpoint &seed : next.seeds) {
-            if (seed != this->settings.peers) {
-                this->gossip.addSeed(seed.text(), seed);
-            }
-        }
+        this->addSeeds();
         this->publish();
     });
 }
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace basilnotch {
 
@@ -54,6 +55,9 @@
 private:
     void run();
     void every(Duration interval, std::function<void()> work);
+    /// Applies records that are newer than what was known, and passes them on.
+    void takeNews(const std::vector<Record> &changed, std::string_view from);
+    void addSeeds();
     bool takeRecord(const Record &record, std::string_view from);
     void applyFact(const Record &record, std::string_view from);
     void takeOwnRecord(const Record &record);
@@ -85,6 +89,7 @@
     FiberRuntime runtime;
     HttpClient client;
     std::unique_ptr<RecordStore> store;
+    const std::vector<std::string> tables; ///< All that are followed, our own last.
     Replica replica;
     Presence presence;
     Gossip gossip;
--- a/libs/base/include/base/Clock.h
+++ b/libs/base/include/base/Clock.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace basilnotch {
 
@@ -50,6 +51,12 @@
     return std::chrono::duration<double>(value).count();
 }
 
+/// Whole milliseconds, for logs and wire formats.
+inline std::int64_t wholeMillis(Duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 /// Duration nearest to `seconds`.
 inline Duration fromSeconds(double seconds)
 {
--- a/libs/settings/src/Settings.cpp
+++ b/libs/settings/src/Settings.cpp
@@ -18,11 +18,6 @@
 constexpr Duration kShortest = milliseconds(1);
 constexpr Duration kLongest = std::chrono::hours(1);
 
-std::int64_t inMillis(Duration value)
-{
-    return std::chrono::duration_cast<milliseconds>(value).count();
-}
-
 /// Each bound once, for reading and for printing.
 template <typename Visit>
 void visitLimits(LimitSettings &limits, Visit visit)
@@ -240,7 +235,7 @@
     limits["retryShare"] = settings.limits.retryShare;
     json::object timing;
     visitTiming(settings.timing,
-                [&](const char *key, Duration &value) { timing[key] = inMillis(value); });
+                [&](const char *key, Duration &value) { timing[key] = wholeMillis(value); });
     json::array upstreams;
     for (const UpstreamSettings &upstream : settings.upstreams) {
         upstreams.push_back(printUpstream(upstream));
@@ -269,7 +264,7 @@
         {"platform",
          {{"adapter", settings.platform.adapter},
           {"address", settings.platform.endpoint.text()},
-          {"timeoutMs", inMillis(settings.platform.timeout)}}},
+          {"timeoutMs", wholeMillis(settings.platform.timeout)}}},
         {"limits", limits},
         {"timing", timing},
         {"traces",
--- a/libs/telemetry/src/EventLog.cpp
+++ b/libs/telemetry/src/EventLog.cpp
@@ -31,11 +31,6 @@
     return std::get<bool>(field.value) ? "true" : "false";
 }
 
-std::int64_t inMillis(Duration value)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 } // namespace
 
 StandardOutput::StandardOutput()
@@ -85,8 +80,8 @@
         return;
     }
     std::string line =
-        absl::StrCat("{\"wallMs\":", inMillis(this->clock.wallNow().time_since_epoch()),
-                     ",\"steadyMs\":", inMillis(now.time_since_epoch()),
+        absl::StrCat("{\"wallMs\":", wholeMillis(this->clock.wallNow().time_since_epoch()),
+                     ",\"steadyMs\":", wholeMillis(now.time_since_epoch()),
                      ",\"instance\":", quoted(this->instance), ",\"event\":", quoted(event));
     for (const LogField &field : fields) {
         absl::StrAppend(&line, ",", quoted(field.name), ":", printValue(field));
