One base for the small ports' handlers, counters looked up once, one rendezvous rank, one memory of crashes

Read over again: three handlers had the same malformed(); counters of the request path were looked up under a lock for each request; the rank by rendezvous hashing was counted in two places; two constants meant the same two minutes.

--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -7,7 +7,6 @@
 
 #include "site/SiteControl.h"
 
-#include <base/Hash.h>
 #include <runtime/HttpStatus.h>
 
 #include <absl/strings/match.h>
--- a/kernel/src/relay/SiteHandlers.cpp
+++ b/kernel/src/relay/SiteHandlers.cpp
@@ -24,16 +24,24 @@
 
 } // namespace
 
+RelayHandler::RelayHandler(RelayContext &context)
+    : context(context)
+    , requests(context.metrics.counter("requests_total"))
+    , turnedAway(context.metrics.counter("requests_turned_away_total"))
+    , malformedRequests(context.metrics.counter("requests_malformed_total"))
+    , latency(context.metrics.histogram("request_seconds"))
+{ }
+
 void RelayHandler::handle(HttpExchange &exchange)
 {
-    this->context.metrics.counter("requests_total").add();
+    this->requests.add();
     const TimePoint began = this->context.clock.now();
     this->waitForConfiguration();
     std::variant<RelayRequest, AdmissionProblem> admitted =
         admitRequest(exchange.request(), this->context);
     if (const auto *problem = std::get_if<AdmissionProblem>(&admitted)) {
         const CallerHeaders caller = this->context.dialect.readCaller(exchange.request());
-        this->context.metrics.counter("requests_turned_away_total").add();
+        this->turnedAway.add();
         this->context.log.write(LogKind::Failure, "request turned away",
                                 {{"request", caller.requestId},
                                  {"reason", problem->reason},
@@ -43,7 +51,7 @@
         return;
     }
     RelayRun(this->context, std::get<RelayRequest>(std::move(admitted)), exchange).run();
-    this->context.metrics.histogram("request_seconds").record(this->context.clock.now() - began);
+    this->latency.record(this->context.clock.now() - began);
 }
 
 void RelayHandler::waitForConfiguration()
@@ -60,7 +68,7 @@
 
 HttpResponse RelayHandler::malformed(int status, std::string_view text)
 {
-    this->context.metrics.counter("requests_malformed_total").add();
+    this->malformedRequests.add();
     this->context.log.write(LogKind::Failure, "request malformed",
                             {{"reason", text}, {"status", std::int64_t{status}}});
     return this->context.dialect.refusal(status, text, std::nullopt);
@@ -93,7 +101,7 @@
     (void)exchange.respond(this->context.dialect.directoryAnswer(addresses, ttl));
 }
 
-HttpResponse DirectoryHandler::malformed(int status, std::string_view text)
+HttpResponse ViewHandler::malformed(int status, std::string_view text)
 {
     return this->context.dialect.refusal(status, text, std::nullopt);
 }
@@ -106,20 +114,10 @@
     (void)exchange.respond({status, {}, ""});
 }
 
-HttpResponse ReadinessHandler::malformed(int status, std::string_view text)
-{
-    return this->context.dialect.refusal(status, text, std::nullopt);
-}
-
 void MetricsHandler::handle(HttpExchange &exchange)
 {
     (void)exchange.respond(
         {status::kOk, {{"Content-Type", "text/plain"}}, this->context.metrics.print()});
 }
 
-HttpResponse MetricsHandler::malformed(int status, std::string_view text)
-{
-    return this->context.dialect.refusal(status, text, std::nullopt);
-}
-
 } // namespace basilnotch
--- a/kernel/src/relay/SiteHandlers.h
+++ b/kernel/src/relay/SiteHandlers.h
@@ -14,9 +14,7 @@
 class RelayHandler final : public HttpHandler
 {
 public:
-    explicit RelayHandler(RelayContext &context)
-        : context(context)
-    { }
+    explicit RelayHandler(RelayContext &context);
     void handle(HttpExchange &exchange) override;
     HttpResponse malformed(int status, std::string_view text) override;
 
@@ -25,50 +23,53 @@
     void waitForConfiguration();
 
     RelayContext &context;
+    Counter &requests;
+    Counter &turnedAway;
+    Counter &malformedRequests;
+    LatencyHistogram &latency;
+};
+
+/// What the handlers of the smaller ports have in common.
+class ViewHandler : public HttpHandler
+{
+public:
+    explicit ViewHandler(RelayContext &context)
+        : context(context)
+    { }
+    HttpResponse malformed(int status, std::string_view text) override;
+
+protected:
+    RelayContext &context;
 };
 
 /// Which instances callers should use. The composition of the answer is what spreads them.
-class DirectoryHandler final : public HttpHandler
+class DirectoryHandler final : public ViewHandler
 {
 public:
     DirectoryHandler(RelayContext &context, std::uint64_t seed)
-        : context(context)
+        : ViewHandler(context)
         , random(seed)
     { }
     void handle(HttpExchange &exchange) override;
-    HttpResponse malformed(int status, std::string_view text) override;
 
 private:
-    RelayContext &context;
     std::mt19937_64 random;
 };
 
 /// Readiness checks of the platform.
-class ReadinessHandler final : public HttpHandler
+class ReadinessHandler final : public ViewHandler
 {
 public:
-    explicit ReadinessHandler(RelayContext &context)
-        : context(context)
-    { }
+    using ViewHandler::ViewHandler;
     void handle(HttpExchange &exchange) override;
-    HttpResponse malformed(int status, std::string_view text) override;
-
-private:
-    RelayContext &context;
 };
 
 /// Counters and histograms as text.
-class MetricsHandler final : public HttpHandler
+class MetricsHandler final : public ViewHandler
 {
 public:
-    explicit MetricsHandler(RelayContext &context)
-        : context(context)
-    { }
+    using ViewHandler::ViewHandler;
     void handle(HttpExchange &exchange) override;
-    HttpResponse malformed(int status, std::string_view text) override;
-
-private:
-    RelayContext &context;
 };
 
 } // namespace basilnotch
--- a/kernel/src/relay/SiteTraffic.cpp
+++ b/kernel/src/relay/SiteTraffic.cpp
@@ -24,7 +24,6 @@
 /// Callers may use a connection again until four fifths of the idle time; this is on top of it all.
 constexpr Duration kIdleReserve = seconds(2);
 constexpr int kCrashesToQuarantine = 3; // Distinct upstreams that ended while they ran a request.
-constexpr Duration kCrashMemory = std::chrono::minutes(2);
 /// An upstream that does not say when it closes idle connections may do so within a second.
 constexpr Duration kUnstatedIdleAge = milliseconds(400);
 constexpr int kIdlePerUpstream = 6; // Of one instance; more are rarely needed at once.
--- a/kernel/src/site/RolloutDesk.cpp
+++ b/kernel/src/site/RolloutDesk.cpp
@@ -256,14 +256,14 @@
 
 Duration RolloutDesk::rankDelay(const std::string &service) const
 {
-    int before = 0;
-    const std::string &self = this->gossip.self().name;
-    const std::uint64_t own = hash64(self, hash64(service));
+    std::vector<std::string> alive;
     for (const Member &member : readMembers(this->gossip.store())) {
-        const bool alive = member.state == MemberState::Alive && member.name != self;
-        before += alive && hash64(member.name, hash64(service)) > own ? 1 : 0;
+        if (member.state == MemberState::Alive) {
+            alive.push_back(member.name);
+        }
     }
-    return kRankStep * std::min(before, kMostRanks);
+    const std::size_t before = rendezvousRank(service, this->gossip.self().name, alive);
+    return kRankStep * std::min(static_cast<int>(before), kMostRanks);
 }
 
 void RolloutDesk::tick(std::optional<Duration> storeTime, const UpstreamList &upstreams)
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -24,12 +24,11 @@
 constexpr int kNewsFanOut = 3;
 constexpr Duration kNewsPause = milliseconds(10); // News that come together go together.
 /// Up to so many instances, each watches what the platform writes itself: that is the surest way.
-constexpr int kSmallSite = 16;
+constexpr std::size_t kSmallSite = 16;
 /// Instances that watch a table for all: a third of them may be turned away at one time.
-constexpr int kWatchersOfSmallSite = 4;
-constexpr int kWatchersOfLargeSite = 8;
-constexpr Duration kCrashMemory = std::chrono::minutes(2); // As long as a quarantine lasts.
-constexpr std::size_t kMostCrashes = 10'000;               // Remembered, so that each is told once.
+constexpr std::size_t kWatchersOfSmallSite = 4;
+constexpr std::size_t kWatchersOfLargeSite = 8;
+constexpr std::size_t kMostCrashes = 10'000; // Remembered, so that each is told once.
 
 Settings peerPart(const SiteSettings &site)
 {
@@ -173,14 +172,10 @@
             candidates.push_back(member.name);
         }
     }
-    const auto count = static_cast<int>(candidates.size());
+    const std::size_t count = candidates.size();
     for (const std::string &table : this->tables) {
-        const std::uint64_t own = hash64(this->settings.instance, hash64(table));
-        int before = 0;
-        for (const std::string &name : candidates) {
-            before += hash64(name, hash64(table)) > own ? 1 : 0;
-        }
-        const int most = count > kSmallSite ? kWatchersOfLargeSite : kWatchersOfSmallSite;
+        const std::size_t before = rendezvousRank(table, this->settings.instance, candidates);
+        const std::size_t most = count > kSmallSite ? kWatchersOfLargeSite : kWatchersOfSmallSite;
         const bool all = count <= kSmallSite && table != kOwnTable;
         this->feed.setWatching(table, all || before < most);
     }
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -24,6 +24,9 @@
 
 namespace basilnotch {
 
+/// How long it is remembered that an upstream crashed while it ran a request.
+inline constexpr Duration kCrashMemory = std::chrono::minutes(2);
+
 /// What the traffic thread needs to hear at once. Called on the control thread.
 struct SiteListener
 {
--- a/libs/base/include/base/Hash.h
+++ b/libs/base/include/base/Hash.h
@@ -23,6 +23,10 @@
 /// `bytes` random bytes of the operating system's generator in hexadecimal.
 std::string randomHex(std::size_t bytes);
 
+/// Rendezvous hashing: how many of `names` come before `self` for `key`; 0 for the owner.
+std::size_t rendezvousRank(std::string_view key, std::string_view self,
+                           std::span<const std::string> names);
+
 /// Rendezvous hashing: index of the name that owns `key`. Undefined for an empty list.
 std::size_t rendezvousOwner(std::string_view key, std::span<const std::string> names);
 
--- a/libs/base/src/Hash.cpp
+++ b/libs/base/src/Hash.cpp
@@ -1,6 +1,8 @@
 // Thin wrappers over xxHash and OpenSSL, so that callers hold plain strings and numbers.
 #include <base/Hash.h>
 
+#include <algorithm>
+
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -63,6 +65,16 @@
     return toHex(std::span(data, bytes));
 }
 
+std::size_t rendezvousRank(std::string_view key, std::string_view self,
+                           std::span<const std::string> names)
+{
+    const std::uint64_t seed = hash64(key);
+    const std::uint64_t own = hash64(self, seed);
+    return static_cast<std::size_t>(
+        std::count_if(names.begin(), names.end(),
+                      [&](const std::string &name) { return hash64(name, seed) > own; }));
+}
+
 std::size_t rendezvousOwner(std::string_view key, std::span<const std::string> names)
 {
     assert(!names.empty());
