An upstream that crashes counts once in the evidence against its version

Five upstreams had crashed at 17.7 s; each cut answer counted as an independent failure, and the cumulative sum took the clump for a bad version.

Ruled out: store (the revert was written at once), slow answers (none in the clump).

Change: a cut names the upstream's incarnation in the gossip, so that it counts once whoever saw it, and crashes are judged apart, by how many upstreams of each version there are (CrashEvidence).

--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -269,7 +269,8 @@
     if (!silent) {
         this->onCrash(attempt.lease.upstream());
     }
-    this->reportAnswer(attempt, true, this->context.clock.now() - attempt.sentAt);
+    this->reportAnswer(attempt, silent ? AnswerOutcome::Bad : AnswerOutcome::Cut,
+                       this->context.clock.now() - attempt.sentAt);
     return AttemptEnd::MaybeRun;
 }
 
@@ -282,16 +283,17 @@
     this->context.control.onCrash(this->request.fingerprint, id);
 }
 
-void RelayRun::reportAnswer(const Attempt &attempt, bool failed, Duration took)
+void RelayRun::reportAnswer(const Attempt &attempt, AnswerOutcome outcome, Duration took)
 {
     const std::string &route = this->request.route->name;
-    const bool slow =
-        !failed && this->context.slowness.isFarSlower(route, took, !attempt.isNewVersion);
+    const bool slow = outcome == AnswerOutcome::Good
+        && this->context.slowness.isFarSlower(route, took, !attempt.isNewVersion);
     if (!attempt.versionMatters) {
         return;
     }
-    this->context.control.onAnswer(
-        {this->request.service, attempt.lease.upstream().softwareVersion, route, failed || slow});
+    const UpstreamRecord &upstream = attempt.lease.upstream();
+    this->context.control.onAnswer({this->request.service, upstream.softwareVersion, route,
+                                    upstream.incarnation(), slow ? AnswerOutcome::Bad : outcome});
 }
 
 RelayRun::AttemptEnd RelayRun::takeAnswer(Attempt &attempt, HttpStream &answer)
@@ -315,7 +317,8 @@
     if (asStream && this->dropsForLargeModel(attempt, read)) {
         answer.close();
         attempt.lease.setResult(AttemptResult::Good);
-        this->reportAnswer(attempt, false, this->context.clock.now() - attempt.sentAt);
+        this->reportAnswer(attempt, AnswerOutcome::Good,
+                           this->context.clock.now() - attempt.sentAt);
         this->context.metrics.counter("answers_dropped_total").add();
         this->model = this->request.route->modelsBySize.back();
         this->lastProblem = "the small model was unsure";
@@ -350,7 +353,7 @@
     }
     if (end == StreamEnd::Complete) {
         attempt.lease.setResult(AttemptResult::Good);
-        this->reportAnswer(attempt, false, firstAt - attempt.sentAt);
+        this->reportAnswer(attempt, AnswerOutcome::Good, firstAt - attempt.sentAt);
         this->learnSize(this->context.clock.now() - firstAt);
         this->logEnd(LogKind::Routine, "request answered", "", status::kOk);
         return AttemptEnd::Answered;
@@ -367,7 +370,8 @@
     if (!outOfTime) {
         attempt.lease.setResult(AttemptResult::Failed);
     }
-    this->reportAnswer(attempt, true, this->context.clock.now() - attempt.sentAt);
+    this->reportAnswer(attempt, outOfTime ? AnswerOutcome::Bad : AnswerOutcome::Cut,
+                       this->context.clock.now() - attempt.sentAt);
     return AttemptEnd::MaybeRun;
 }
 
@@ -395,7 +399,7 @@
     attempt.lease.onFirstByte();
     attempt.lease.setResult(failed ? AttemptResult::Failed : AttemptResult::Good);
     const Duration took = this->context.clock.now() - attempt.sentAt;
-    this->reportAnswer(attempt, failed, took);
+    this->reportAnswer(attempt, failed ? AnswerOutcome::Bad : AnswerOutcome::Good, took);
     HttpResponse response{answer.status(), this->context.dialect.forCaller(answer.headers()),
                           *std::move(body)};
     if (failed) {
--- a/kernel/src/relay/RelayRun.h
+++ b/kernel/src/relay/RelayRun.h
@@ -6,6 +6,8 @@
 #include "StreamRelay.h"
 #include "UpstreamDesk.h"
 
+#include "site/AnswerReport.h"
+
 #include <optional>
 #include <string>
 #include <vector>
@@ -54,7 +56,7 @@
     AttemptEnd onNoAnswer(Attempt &attempt, const absl::Status &status);
     /// Tells the cascade how long the answers of the route are and how fast they come.
     void learnSize(Duration sinceFirst);
-    void reportAnswer(const Attempt &attempt, bool failed, Duration took);
+    void reportAnswer(const Attempt &attempt, AnswerOutcome outcome, Duration took);
     void onCrash(const UpstreamRecord &upstream);
     /// Whether another upstream may be tried after `end`; draws on the retry budget.
     bool mayTryAgain(AttemptEnd end);
--- a/kernel/src/site/RolloutDesk.cpp
+++ b/kernel/src/site/RolloutDesk.cpp
@@ -21,6 +21,8 @@
 
 constexpr char kRecordPrefix[] = "rollout/";
 constexpr char kSeparator = '\x1f'; // In the names of rumors.
+constexpr char kNewSide[] = "new";  // Of a roll-out, in the names of rumors.
+constexpr char kOldSide[] = "old";
 /// Between the tries of two instances: longer than a commit, so that mostly the first one succeeds.
 constexpr Duration kRankStep = milliseconds(150);
 constexpr int kMostRanks = 4; // Later ranks would only add delay when the first ones are down.
@@ -128,6 +130,7 @@
     if (!this->isCurrent(known)) {
         known.held = false;
         known.evidence.clear();
+        known.crashes = CrashEvidence();
     }
     this->log.write(LogKind::State, "roll-out ordered",
                     {{"service", order.service},
@@ -169,9 +172,17 @@
     }
     const std::uint64_t order = known->second.state.order;
     const std::string side =
-        report.softwareVersion == known->second.state.toVersion ? "new" : "old";
+        report.softwareVersion == known->second.state.toVersion ? kNewSide : kOldSide;
+    if (report.outcome == AnswerOutcome::Cut) {
+        // Named after the upstream, so that it counts once whoever saw it break off.
+        this->gossip.tell({{RumorKind::CrashedUpstream,
+                            joinName({report.service, absl::StrCat(order), side, report.upstream})},
+                           1,
+                           ""});
+        return;
+    }
     AnswerCounts &counts = this->counts[{report.service, order, report.route, side}];
-    counts.add({1, report.bad ? 1 : 0});
+    counts.add({1, report.outcome == AnswerOutcome::Bad ? 1 : 0});
     this->countsChanged = true;
 }
 
@@ -201,7 +212,52 @@
     }
 }
 
-void RolloutDesk::judge(Known &known)
+void RolloutDesk::judge(Known &known, const UpstreamList &upstreams)
+{
+    this->judgeAnswers(known);
+    this->judgeCrashes(known, upstreams);
+}
+
+void RolloutDesk::judgeCrashes(Known &known, const UpstreamList &upstreams)
+{
+    CrashCounts oldVersion;
+    CrashCounts newVersion;
+    this->gossip.store().forEach(RumorKind::CrashedUpstream, [&](const Rumor &rumor) {
+        const std::vector<std::string> parts = absl::StrSplit(rumor.id.name, kSeparator);
+        constexpr std::size_t kParts = 4;
+        if (parts.size() == kParts && parts[0] == known.state.service
+            && parts[1] == absl::StrCat(known.state.order)) {
+            ++(parts[2] == kNewSide ? newVersion : oldVersion).crashed;
+        }
+    });
+    for (const UpstreamRef &upstream : upstreams.ready(known.state.service)) {
+        const bool isNew = upstream->softwareVersion == known.state.toVersion;
+        ++(isNew ? newVersion : oldVersion).live;
+    }
+    if (known.crashes.update(oldVersion, newVersion) && !known.held) {
+        this->hold(known, "its upstreams crash", {oldVersion.live, oldVersion.crashed},
+                   {newVersion.live, newVersion.crashed});
+    }
+}
+
+void RolloutDesk::hold(Known &known, std::string_view reason, const AnswerCounts &oldVersion,
+                       const AnswerCounts &newVersion)
+{
+    known.held = true;
+    ++this->changes;
+    this->gossip.tell(
+        {{RumorKind::Hold, known.state.service}, known.state.order, std::string(reason)});
+    this->log.write(LogKind::State, "roll-out held",
+                    {{"service", known.state.service},
+                     {"to", known.state.toVersion},
+                     {"reason", reason},
+                     {"newCounted", newVersion.answers},
+                     {"newBad", newVersion.bad},
+                     {"oldCounted", oldVersion.answers},
+                     {"oldBad", oldVersion.bad}});
+}
+
+void RolloutDesk::judgeAnswers(Known &known)
 {
     struct Sides
     {
@@ -222,24 +278,16 @@
         }
         for (const std::string &route : {parts[2], std::string()}) {
             Sides &sides = byRoute[route];
-            (parts[3] == "new" ? sides.newVersion : sides.oldVersion).add(counts);
+            (parts[3] == kNewSide ? sides.newVersion : sides.oldVersion).add(counts);
         }
     });
     for (const auto &[route, sides] : byRoute) {
         if (known.held || !known.evidence[route].update(sides.oldVersion, sides.newVersion)) {
             continue;
         }
-        known.held = true;
-        ++this->changes;
-        this->gossip.tell({{RumorKind::Hold, known.state.service}, known.state.order, route});
-        this->log.write(LogKind::State, "roll-out held",
-                        {{"service", known.state.service},
-                         {"to", known.state.toVersion},
-                         {"route", route.empty() ? "all" : route},
-                         {"newAnswers", sides.newVersion.answers},
-                         {"newBad", sides.newVersion.bad},
-                         {"oldAnswers", sides.oldVersion.answers},
-                         {"oldBad", sides.oldVersion.bad}});
+        const std::string where = route.empty() ? "bad answers on all routes"
+                                                : absl::StrCat("bad answers on route ", route);
+        this->hold(known, where, sides.oldVersion, sides.newVersion);
     }
 }
 
@@ -282,7 +330,7 @@
         if (known.state.phase != RolloutPhase::InProgress) {
             continue;
         }
-        this->judge(known);
+        this->judge(known, upstreams);
         this->takeHolds(known);
         const Duration elapsed = *storeTime - known.state.startedAt - this->rankDelay(service);
         if (known.held) {
--- a/kernel/src/site/RolloutDesk.h
+++ b/kernel/src/site/RolloutDesk.h
@@ -3,8 +3,10 @@
 // may move by compare-and-set; there is no lease, and the instances' ranks only spread their tries.
 #pragma once
 
+#include "AnswerReport.h"
 #include "SiteView.h"
 
+#include <decision/CrashEvidence.h>
 #include <decision/VersionEvidence.h>
 #include <kernel/Site.h>
 #include <membership/Gossip.h>
@@ -23,15 +25,6 @@
 /// The table of the product's own records.
 inline constexpr char kOwnTable[] = "basilnotch";
 
-/// How one answer of an upstream turned out.
-struct AnswerReport
-{
-    std::string service;
-    std::string softwareVersion;
-    std::string route;
-    bool bad = false; ///< Failed, cut, or far slower than usual.
-};
-
 /// Control thread only.
 class RolloutDesk
 {
@@ -63,13 +56,19 @@
         bool held = false;
         bool moving = false;                             ///< A commit is under way.
         std::map<std::string, VersionEvidence> evidence; ///< By route; "" for all together.
+        CrashEvidence crashes;
     };
     /// Service, order, route, version of the software.
     using CountKey = std::tuple<std::string, std::uint64_t, std::string, std::string>;
 
     bool isCurrent(const Known &known) const;
     Duration rankDelay(const std::string &service) const;
-    void judge(Known &known);
+    void judge(Known &known, const UpstreamList &upstreams);
+    void judgeAnswers(Known &known);
+    void judgeCrashes(Known &known, const UpstreamList &upstreams);
+    /// Gives the new version nothing more, here and at all peers.
+    void hold(Known &known, std::string_view reason, const AnswerCounts &oldVersion,
+              const AnswerCounts &newVersion);
     void takeHolds(Known &known);
     void begin(Known &known, Duration storeTime);
     void move(Known &known, RolloutPhase phase);
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -315,8 +315,11 @@
     this->gossip.store().forget(RumorKind::Crash, [&](const Rumor &rumor) {
         return !this->knownCrashes.contains(rumor.id.name);
     });
-    this->gossip.store().forget(
-        RumorKind::Verdict, [&](const Rumor &rumor) { return !this->rollouts.isUnderWay(rumor); });
+    for (const RumorKind ofRollouts : {RumorKind::Verdict, RumorKind::CrashedUpstream}) {
+        this->gossip.store().forget(ofRollouts, [&](const Rumor &rumor) {
+            return !this->rollouts.isUnderWay(rumor);
+        });
+    }
 }
 
 void SiteControl::tick()
--- a/libs/decision/tests/RolloutScheduleTest.cpp
+++ b/libs/decision/tests/RolloutScheduleTest.cpp
@@ -1,4 +1,5 @@
-// The share of a new version over the time of its roll-out.
+// The share of a new version over the time of its roll-out, and what counts against it.
+#include <decision/CrashEvidence.h>
 #include <decision/RolloutSchedule.h>
 #include <decision/VersionEvidence.h>
 
@@ -102,6 +103,32 @@
     CHECK(answers - goodOnes <= 14);
 }
 
+TEST_CASE("upstreams of both versions that crash together do not make a good version bad")
+{
+    CrashEvidence evidence;
+    CHECK_FALSE(evidence.update({2, 9}, {3, 9}));
+    CHECK_FALSE(evidence.update({17, 90}, {15, 90}));
+}
+
+TEST_CASE("a few crashes that fall on the new version by chance do not make it bad")
+{
+    CrashEvidence evidence;
+    for (std::int64_t crashed = 1; crashed <= 5; ++crashed) {
+        CHECK_FALSE(evidence.update({0, 9}, {crashed, 9}));
+    }
+}
+
+TEST_CASE("a version whose upstreams crash again and again is found")
+{
+    CrashEvidence evidence;
+    std::int64_t crashed = 0;
+    while (!evidence.isBad() && crashed < 100) {
+        ++crashed;
+        evidence.update({crashed / 10, 9}, {crashed, 9});
+    }
+    CHECK(crashed <= 20);
+}
+
 TEST_CASE("a version no worse than an old one that often fails is not called bad")
 {
     VersionEvidence evidence;
--- a/libs/membership/include/membership/Rumor.h
+++ b/libs/membership/include/membership/Rumor.h
@@ -23,8 +23,9 @@
     Quality,         ///< An instance's rating counts.
     Usage,           ///< An instance's use of workspace budgets.
     Crash,           ///< A request and an upstream that crashed while it ran it; soon forgotten.
+    CrashedUpstream, ///< An upstream that broke off during a roll-out; forgotten with it.
 };
-constexpr int kRumorKinds = 13;
+constexpr int kRumorKinds = 14;
 
 struct RumorId
 {
