A new version is judged against what the old one does at the same time

Tests: "a rush that slows both versions does not make the new one bad" and "a few hundred answers of a good version raise no alarm" fail before (more than 2 of 200 roll-outs held).

--- a/libs/decision/src/VersionEvidence.cpp
+++ b/libs/decision/src/VersionEvidence.cpp
@@ -6,22 +6,42 @@
 
 namespace basilnotch {
 
+namespace {
+
+constexpr double kHighestShare = 0.9; // Of bad answers that either hypothesis may have.
+
+} // namespace
+
 VersionEvidence::VersionEvidence(VersionEvidenceOptions options)
     : options(options)
 { }
 
+double VersionEvidence::usualShare(const AnswerCounts &oldVersion)
+{
+    const auto answers = static_cast<double>(oldVersion.answers - this->seenOld.answers);
+    const auto badOnes = static_cast<double>(oldVersion.bad - this->seenOld.bad);
+    if (answers > 0) {
+        this->seenOld = oldVersion;
+        const double kept = std::exp(-answers / this->options.recentAnswers);
+        this->recentOld = this->recentOld * kept + answers;
+        this->recentOldBad = this->recentOldBad * kept + std::max(badOnes, 0.0);
+    }
+    const auto counted = static_cast<double>(std::max<std::int64_t>(oldVersion.answers, 1));
+    const double overall = static_cast<double>(oldVersion.bad) / counted;
+    const bool enough = this->recentOld >= this->options.recentAnswers / 4;
+    const double recent = enough ? this->recentOldBad / this->recentOld : 0;
+    return std::clamp(std::max(overall, recent), this->options.usualFloor, kHighestShare / 2);
+}
+
 bool VersionEvidence::update(const AnswerCounts &oldVersion, const AnswerCounts &newVersion)
 {
-    constexpr double kHighestShare = 0.9;
+    const double usual = this->usualShare(oldVersion);
     const std::int64_t answers = newVersion.answers - this->seen.answers;
     const std::int64_t badOnes = newVersion.bad - this->seen.bad;
     if (answers <= 0 || badOnes < 0 || this->bad) {
         return this->bad;
     }
     this->seen = newVersion;
-    const double counted = static_cast<double>(std::max<std::int64_t>(oldVersion.answers, 1));
-    const double measured = static_cast<double>(oldVersion.bad) / counted;
-    const double usual = std::clamp(measured, this->options.usualFloor, kHighestShare / 2);
     const double alternative =
         std::clamp(usual * this->options.badFactor, this->options.badFloor, kHighestShare);
     const double forBad = std::log(alternative / usual);
--- a/libs/decision/tests/RolloutScheduleTest.cpp
+++ b/libs/decision/tests/RolloutScheduleTest.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+
 using namespace basilnotch;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -103,6 +105,39 @@
     CHECK(answers - goodOnes <= 14);
 }
 
+TEST_CASE("a rush that slows both versions does not make the new one bad")
+{
+    VersionEvidence evidence;
+    AnswerCounts oldVersion{300, 6};
+    AnswerCounts newVersion{30, 0};
+    evidence.update(oldVersion, newVersion);
+    for (int step = 0; step < 60; ++step) {
+        const bool rush = step >= 20 && step < 40;
+        oldVersion.add({10, rush ? 4 : 0});
+        newVersion.add({2, rush && step % 5 != 0 ? 1 : 0}); // 16 of 40 late in the rush.
+        CHECK_FALSE(evidence.update(oldVersion, newVersion));
+    }
+}
+
+TEST_CASE("a few hundred answers of a good version raise no alarm")
+{
+    std::mt19937 random(1);
+    std::bernoulli_distribution isBad(0.06);
+    int alarms = 0;
+    for (int rollout = 0; rollout < 200; ++rollout) {
+        VersionEvidence evidence;
+        AnswerCounts oldVersion;
+        AnswerCounts newVersion;
+        for (int answer = 0; answer < 600 && !evidence.isBad(); ++answer) {
+            oldVersion.add({1, isBad(random) ? 1 : 0});
+            newVersion.add({1, isBad(random) ? 1 : 0});
+            evidence.update(oldVersion, newVersion);
+        }
+        alarms += evidence.isBad() ? 1 : 0;
+    }
+    CHECK(alarms <= 2); // One in a hundred.
+}
+
 TEST_CASE("upstreams of both versions that crash together do not make a good version bad")
 {
     CrashEvidence evidence;
