--- a/bench/capacity/DecisionCost.cpp
+++ b/bench/capacity/DecisionCost.cpp
@@ -53,18 +53,20 @@
         record.slots = 48;
         upstreams.push_back(std::make_shared<const UpstreamRecord>(record));
     }
-    UpstreamPicker picker({}, clock, 1);
+    PromptBacklog backlog({}, 1, clock);
+    UpstreamPicker picker({}, backlog, clock, 1);
     PickQuery query;
     query.candidates = upstreams;
     query.affinityKey = 7;
-    query.ownTokens = 600;
+    query.ownWork = std::chrono::milliseconds(37);
+    query.sharedWork = std::chrono::milliseconds(56);
     query.sharedTokens = 900;
     query.isEngine = true;
     while (state.KeepRunning()) {
         const Pick picked = picker.pick(query);
-        picker.onSent(*picked.upstream, query);
-        picker.onFirstByte(*picked.upstream, query);
-        picker.onEnded(*picked.upstream, query, true, AttemptResult::Good);
+        picker.onSent(*picked.upstream, picked.work);
+        picker.onRead(*picked.upstream, picked.work);
+        picker.onEnded(*picked.upstream, AttemptResult::Good);
         clock.advance(std::chrono::microseconds(500));
     }
     state.SetComplexityN(state.range(0));
--- /dev/null
+++ b/kernel/src/relay/BacklogExchange.cpp
@@ -0,0 +1,167 @@
+// Whoever receives notes that are to be passed on does so, whether it takes itself for the
+// collector or not: instances may disagree for a moment on who that is.
+#include "BacklogExchange.h"
+
+#include <base/Hash.h>
+#include <runtime/FiberRuntime.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace basilnotch {
+
+namespace {
+
+/// Up to so many instances, each tells each other: nine of them send some hundred datagrams a
+/// second.
+constexpr std::size_t kSmallSite = 16;
+/// Own changes that come together go together; short against the time that a prompt takes.
+constexpr Duration kOwnPause = milliseconds(3);
+/// A collector gathers what its members tell within this time: a tenth of a usual prompt.
+constexpr Duration kCollectPause = milliseconds(15);
+
+void append(std::vector<BacklogNote> *notes, const std::vector<BacklogNote> &more)
+{
+    notes->insert(notes->end(), more.begin(), more.end());
+}
+
+std::string collectorOf(const std::string &failureDomain, const std::vector<std::string> &names)
+{
+    return names[rendezvousOwner("backlog/" + failureDomain, names)];
+}
+
+} // namespace
+
+BacklogPeers backlogPeers(const std::string &self, const std::vector<DirectoryEntry> &directory)
+{
+    BacklogPeers peers;
+    const auto own = std::find_if(directory.begin(), directory.end(),
+                                  [&](const DirectoryEntry &entry) { return entry.name == self; });
+    if (directory.size() <= kSmallSite || own == directory.end()) {
+        for (const DirectoryEntry &entry : directory) {
+            if (entry.name != self) {
+                peers.members.push_back(entry.peers);
+            }
+        }
+        return peers;
+    }
+    std::map<std::string, std::vector<std::string>> byDomain;
+    std::map<std::string, Endpoint> addresses;
+    for (const DirectoryEntry &entry : directory) {
+        byDomain[entry.failureDomain].push_back(entry.name);
+        addresses[entry.name] = entry.peers;
+    }
+    const std::string collector = collectorOf(own->failureDomain, byDomain[own->failureDomain]);
+    peers.isCollector = collector == self;
+    if (!peers.isCollector) {
+        peers.collector = addresses[collector];
+    }
+    for (const auto &[domain, names] : byDomain) {
+        if (domain != own->failureDomain) {
+            peers.collectors.push_back(addresses[collectorOf(domain, names)]);
+        }
+    }
+    for (const std::string &name : byDomain[own->failureDomain]) {
+        if (name != self) {
+            peers.members.push_back(addresses[name]);
+        }
+    }
+    return peers;
+}
+
+BacklogExchange::BacklogExchange(FiberRuntime &runtime, const std::string &self,
+                                 const Endpoint &listen, PromptBacklog &backlog, Metrics &metrics)
+    : runtime(runtime)
+    , self(self)
+    , backlog(backlog)
+    , socket(runtime, listen, [this](std::string_view datagram) { this->onDatagram(datagram); })
+    , sent(metrics.counter("backlog_datagrams_sent_total"))
+    , received(metrics.counter("backlog_datagrams_received_total"))
+    , malformed(metrics.counter("backlog_datagrams_malformed_total"))
+{ }
+
+absl::Status BacklogExchange::start()
+{
+    return this->socket.start();
+}
+
+void BacklogExchange::setDirectory(const std::vector<DirectoryEntry> &directory)
+{
+    this->peers = backlogPeers(this->self, directory);
+}
+
+void BacklogExchange::onChanged()
+{
+    this->flushSoon(this->peers.isCollector ? kCollectPause : kOwnPause);
+}
+
+void BacklogExchange::refresh()
+{
+    this->backlog.expire();
+    this->onChanged();
+}
+
+void BacklogExchange::onDatagram(std::string_view datagram)
+{
+    this->received.add();
+    absl::StatusOr<BacklogMessage> message = decodeBacklog(datagram);
+    if (!message.ok()) {
+        this->malformed.add();
+        return;
+    }
+    std::erase_if(message->notes,
+                  [this](const BacklogNote &note) { return !this->backlog.take(note); });
+    if (message->notes.empty() || message->stage == BacklogStage::ToMembers) {
+        return;
+    }
+    append(&this->forMembers, message->notes);
+    if (message->stage == BacklogStage::ToCollector) {
+        append(&this->forCollectors, message->notes);
+    }
+    this->flushSoon(kCollectPause);
+}
+
+void BacklogExchange::flushSoon(Duration pause)
+{
+    if (std::exchange(this->flushing, true)) {
+        return;
+    }
+    this->runtime.spawn([this, pause] {
+        this->runtime.sleepFor(pause);
+        this->flushing = false;
+        this->flush();
+    });
+}
+
+void BacklogExchange::flush()
+{
+    const std::vector<BacklogNote> own = this->backlog.takeNews();
+    if (this->peers.collector) {
+        this->send(BacklogStage::ToCollector, own, {*this->peers.collector});
+    } else {
+        append(&this->forCollectors, own);
+        append(&this->forMembers, own);
+    }
+    this->send(BacklogStage::ToCollectors, std::exchange(this->forCollectors, {}),
+               this->peers.collectors);
+    this->send(BacklogStage::ToMembers, std::exchange(this->forMembers, {}), this->peers.members);
+}
+
+void BacklogExchange::send(BacklogStage stage, const std::vector<BacklogNote> &notes,
+                           const std::vector<Endpoint> &receivers)
+{
+    for (std::size_t at = 0; at < notes.size(); at += kMostBacklogNotes) {
+        const std::size_t end = std::min(at + kMostBacklogNotes, notes.size());
+        BacklogMessage message{stage, {}};
+        message.notes.assign(notes.begin() + static_cast<std::ptrdiff_t>(at),
+                             notes.begin() + static_cast<std::ptrdiff_t>(end));
+        const std::string datagram = encodeBacklog(message);
+        for (const Endpoint &receiver : receivers) {
+            (void)this->socket.send(receiver, datagram); // The next refresh makes up for it.
+            this->sent.add();
+        }
+    }
+}
+
+} // namespace basilnotch
--- /dev/null
+++ b/kernel/src/relay/BacklogMessage.cpp
@@ -0,0 +1,71 @@
+// MessagePack: [version, stage, [[instance, upstream, number, work in ms], ...]].
+#include "BacklogMessage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace basilnotch {
+
+namespace {
+
+constexpr int kFormat = 1;
+constexpr std::size_t kMessageFields = 3;
+constexpr std::size_t kNoteFields = 4;
+constexpr std::uint64_t kMostWorkMs = 600'000; // Beyond any prompt: a damaged message.
+
+bool isNote(const nlohmann::json &item)
+{
+    if (!item.is_array() || item.size() != kNoteFields) {
+        return false;
+    }
+    for (const nlohmann::json &field : item) {
+        if (!field.is_number_unsigned()) {
+            return false;
+        }
+    }
+    return item[3].get<std::uint64_t>() <= kMostWorkMs;
+}
+
+} // namespace
+
+std::string encodeBacklog(const BacklogMessage &message)
+{
+    nlohmann::json notes = nlohmann::json::array();
+    for (const BacklogNote &note : message.notes) {
+        notes.push_back(
+            nlohmann::json::array({note.instance, note.upstream, note.number,
+                                   static_cast<std::uint64_t>(wholeMillis(note.work))}));
+    }
+    const nlohmann::json envelope =
+        nlohmann::json::array({kFormat, static_cast<unsigned>(message.stage), std::move(notes)});
+    std::string datagram;
+    nlohmann::json::to_msgpack(envelope, datagram);
+    return datagram;
+}
+
+absl::StatusOr<BacklogMessage> decodeBacklog(std::string_view datagram)
+{
+    const absl::Status malformed =
+        failure(absl::StatusCode::kDataLoss, "read backlog", "peer", "malformed message");
+    const nlohmann::json envelope = nlohmann::json::from_msgpack(datagram, true, false);
+    const bool ok = envelope.is_array() && envelope.size() == kMessageFields
+        && envelope[0] == kFormat && envelope[1].is_number_unsigned()
+        && envelope[1].get<unsigned>() <= static_cast<unsigned>(BacklogStage::ToMembers)
+        && envelope[2].is_array() && envelope[2].size() <= kMostBacklogNotes;
+    if (!ok) {
+        return malformed;
+    }
+    BacklogMessage message;
+    message.stage = static_cast<BacklogStage>(envelope[1].get<unsigned>());
+    message.notes.reserve(envelope[2].size());
+    for (const nlohmann::json &item : envelope[2]) {
+        if (!isNote(item)) {
+            return malformed;
+        }
+        message.notes.push_back({item[0].get<std::uint32_t>(), item[1].get<std::uint32_t>(),
+                                 item[2].get<std::uint32_t>(),
+                                 std::chrono::milliseconds(item[3].get<std::int64_t>())});
+    }
+    return message;
+}
+
+} // namespace basilnotch
--- /dev/null
+++ b/kernel/src/relay/BacklogMessage.h
@@ -0,0 +1,33 @@
+// The datagrams in which instances tell each other of their unread prompts.
+#pragma once
+
+#include <base/Failure.h>
+#include <decision/PromptBacklog.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace basilnotch {
+
+/// How far notes have come on their way to all instances.
+enum class BacklogStage : std::uint8_t {
+    ToCollector,  ///< From an instance to the collector of its failure domain.
+    ToCollectors, ///< From that collector to those of the other failure domains.
+    ToMembers,    ///< From a collector to the instances of its own failure domain.
+};
+
+struct BacklogMessage
+{
+    BacklogStage stage = BacklogStage::ToMembers;
+    std::vector<BacklogNote> notes;
+};
+
+/// Notes that one datagram holds at most.
+inline constexpr std::size_t kMostBacklogNotes = 60;
+
+std::string encodeBacklog(const BacklogMessage &message);
+/// DataLoss for bytes that are no such message.
+absl::StatusOr<BacklogMessage> decodeBacklog(std::string_view datagram);
+
+} // namespace basilnotch
--- a/kernel/src/relay/RelayContext.h
+++ b/kernel/src/relay/RelayContext.h
@@ -5,6 +5,7 @@
 
 #include <decision/AnswerCascade.h>
 #include <decision/PoisonGuard.h>
+#include <decision/PromptSpeed.h>
 #include <decision/RetryWindow.h>
 #include <kernel/Site.h>
 #include <runtime/HttpClient.h>
@@ -37,6 +38,7 @@
     PoisonGuard &poison;
     SlownessMeter &slowness;
     AnswerCascade &cascade;
+    PromptSpeed &promptSpeed;
     std::map<std::string, RetryWindow> &retryWindows; ///< By service.
 };
 
--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -81,6 +81,12 @@
     return this->model;
 }
 
+const std::string &RelayRun::askedModel()
+{
+    const std::string &chosen = this->chooseModel();
+    return chosen.empty() ? this->request.caller.model : chosen;
+}
+
 bool RelayRun::usesLargestModel() const
 {
     const std::vector<std::string> &models = this->request.route->modelsBySize;
@@ -127,7 +133,7 @@
 Acquired RelayRun::acquire()
 {
     const UpstreamWant wanted =
-        wantFor(this->request, this->chooseModel(), this->avoid, this->context.clock.now());
+        wantFor(this->request, this->askedModel(), this->avoid, this->context);
     Acquired acquired =
         this->context.upstreams.acquire(wanted, this->queuePatience(), this->queueCancelled);
     if (acquired.problem == AcquireProblem::NoUpstream && !this->avoid.empty()) {
@@ -287,7 +293,8 @@
 {
     const std::string &route = this->request.route->name;
     const bool slow = outcome == AnswerOutcome::Good
-        && this->context.slowness.isFarSlower(route, took, !attempt.isNewVersion);
+        && this->context.slowness.isFarSlower(route, took, attempt.lease.expectedRead(),
+                                              !attempt.isNewVersion);
     if (!attempt.versionMatters) {
         return;
     }
@@ -314,6 +321,9 @@
         attempt.lease.setResult(AttemptResult::Failed);
         return AttemptEnd::MaybeRun;
     }
+    if (asStream) {
+        this->learnPromptSpeed(attempt);
+    }
     if (asStream && this->dropsForLargeModel(attempt, read)) {
         answer.close();
         attempt.lease.setResult(AttemptResult::Good);
@@ -375,6 +385,18 @@
     return AttemptEnd::MaybeRun;
 }
 
+void RelayRun::learnPromptSpeed(const Attempt &attempt)
+{
+    // The shared part may have been cached: only prompts in which it counts little tell the speed.
+    const CallerHeaders &caller = this->request.caller;
+    const int shared = sharedTokens(caller);
+    const int own = caller.promptTokens - shared;
+    if (own >= 2 * shared) {
+        this->context.promptSpeed.onFirstToken(this->askedModel(), own + shared / 2,
+                                               this->context.clock.now() - attempt.sentAt);
+    }
+}
+
 void RelayRun::learnSize(Duration sinceFirst)
 {
     const EngineTraits *engine = this->request.engine();
--- a/kernel/src/relay/RelayRun.h
+++ b/kernel/src/relay/RelayRun.h
@@ -45,6 +45,8 @@
 
     /// The model to ask; empty when the caller has named one.
     const std::string &chooseModel();
+    /// The model that is asked, whoever chose it.
+    const std::string &askedModel();
     bool usesLargestModel() const;
     Acquired acquire();
     AttemptEnd attempt(UpstreamLease &lease);
@@ -56,6 +58,8 @@
     AttemptEnd onNoAnswer(Attempt &attempt, const absl::Status &status);
     /// Tells the cascade how long the answers of the route are and how fast they come.
     void learnSize(Duration sinceFirst);
+    /// Tells how fast prompts are read, now that the first token has come.
+    void learnPromptSpeed(const Attempt &attempt);
     void reportAnswer(const Attempt &attempt, AnswerOutcome outcome, Duration took);
     void onCrash(const UpstreamRecord &upstream);
     /// Whether another upstream may be tried after `end`; draws on the retry budget.
--- a/kernel/src/relay/RelayWant.cpp
+++ b/kernel/src/relay/RelayWant.cpp
@@ -37,11 +37,11 @@
 }
 
 UpstreamWant wantFor(const RelayRequest &request, const std::string &model,
-                     std::vector<std::string> avoid, TimePoint now)
+                     std::vector<std::string> avoid, const RelayContext &context)
 {
     UpstreamWant want;
     want.service = request.service;
-    want.versions = versionsFor(request, now);
+    want.versions = versionsFor(request, context.clock.now());
     want.avoid = std::move(avoid);
     want.priority = request.priority;
     want.isEngine = request.engine() != nullptr;
@@ -51,7 +51,9 @@
         want.affinityKey = hash64(prompt[prompt.size() - 2].id, hash64(model));
     }
     want.sharedTokens = sharedTokens(request.caller);
-    want.ownTokens = std::max(0, request.caller.promptTokens - want.sharedTokens);
+    want.sharedWork = context.promptSpeed.readTime(model, want.sharedTokens);
+    want.ownWork =
+        context.promptSpeed.readTime(model, request.caller.promptTokens - want.sharedTokens);
     return want;
 }
 
--- a/kernel/src/relay/RelayWant.h
+++ b/kernel/src/relay/RelayWant.h
@@ -18,6 +18,6 @@
 
 /// `model`: the one that is asked; `avoid`: upstreams that have failed the request.
 UpstreamWant wantFor(const RelayRequest &request, const std::string &model,
-                     std::vector<std::string> avoid, TimePoint now);
+                     std::vector<std::string> avoid, const RelayContext &context);
 
 } // namespace basilnotch
--- a/kernel/src/relay/SiteTraffic.cpp
+++ b/kernel/src/relay/SiteTraffic.cpp
@@ -1,6 +1,7 @@
 // Wires the parts of the traffic thread.
 #include "SiteTraffic.h"
 
+#include "BacklogExchange.h"
 #include "RelayContext.h"
 #include "SiteHandlers.h"
 #include "SlownessMeter.h"
@@ -80,12 +81,16 @@
     Impl(const SiteSettings &settings, const SiteAdapter &adapter, const Clock &clock,
          EventLog &log, Metrics &metrics, SiteControl &control)
         : client(this->runtime, upstreamClientOptions())
-        , desk(pickerOptions(settings), clock, hash64(settings.instance, 2))
+        , backlog({}, static_cast<std::uint32_t>(hash64(control.incarnation())), clock)
+        , exchange(this->runtime, settings.instance, settings.peers, this->backlog, metrics)
+        , desk(pickerOptions(settings), this->backlog, clock, hash64(settings.instance, 2),
+               [this] { this->exchange.onChanged(); })
         , poison({kCrashesToQuarantine, kCrashMemory}, clock)
         , cascade({}, clock)
-        , context{control,      adapter.dialect(), clock,         log,
-                  metrics,      this->runtime,     this->client,  this->desk,
-                  this->poison, this->slowness,    this->cascade, this->retryWindows}
+        , context{control,           adapter.dialect(), clock,         log,
+                  metrics,           this->runtime,     this->client,  this->desk,
+                  this->poison,      this->slowness,    this->cascade, this->promptSpeed,
+                  this->retryWindows}
         , relay(this->context)
         , directory(this->context, hash64(settings.instance, 3))
         , readiness(this->context)
@@ -108,6 +113,7 @@
     {
         const std::shared_ptr<const SiteView> view = this->context.control.view();
         this->desk.setUpstreams(view->upstreams, view->liveInstances);
+        this->exchange.setDirectory(view->directory);
         if (!view->catalog) {
             return;
         }
@@ -125,6 +131,7 @@
     {
         while (true) {
             this->desk.pump();
+            this->exchange.refresh();
             this->client.closeExpired();
             this->active.store(this->callers.stats().activeRequests);
             this->runtime.sleepFor(kHousekeeping);
@@ -133,10 +140,13 @@
 
     FiberRuntime runtime;
     HttpClient client;
+    PromptBacklog backlog;
+    BacklogExchange exchange;
     UpstreamDesk desk;
     PoisonGuard poison;
     SlownessMeter slowness;
     AnswerCascade cascade;
+    PromptSpeed promptSpeed;
     std::map<std::string, RetryWindow> retryWindows;
     RelayContext context;
     RelayHandler relay;
@@ -174,6 +184,10 @@
             return bound;
         }
     }
+    const absl::Status exchanging = impl.exchange.start();
+    if (!exchanging.ok()) {
+        return exchanging;
+    }
     impl.runtime.post([&impl] { impl.housekeeping(); });
     impl.thread = std::thread([&impl] { impl.runtime.run(); });
     return absl::OkStatus();
--- a/kernel/src/relay/UpstreamDesk.cpp
+++ b/kernel/src/relay/UpstreamDesk.cpp
@@ -3,39 +3,41 @@
 #include "UpstreamDesk.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace basilnotch {
 
-UpstreamLease::UpstreamLease(UpstreamDesk &desk, UpstreamRef upstream, const UpstreamWant &want)
+UpstreamLease::UpstreamLease(UpstreamDesk &desk, Pick pick)
     : desk(desk)
-    , held(std::move(upstream))
-    , want(want)
+    , pick(std::move(pick))
 { }
 
 UpstreamLease::~UpstreamLease()
 {
-    this->desk.picker.onEnded(*this->held, this->desk.query(this->want), this->sawFirstByte,
-                              this->result);
-    this->desk.forecast(this->held->service).onPlaceFreed();
+    this->onFirstByte();
+    this->desk.picker.onEnded(this->upstream(), this->result);
+    this->desk.forecast(this->upstream().service).onPlaceFreed();
     this->desk.pump();
 }
 
 void UpstreamLease::onLoad(const LoadSample &sample)
 {
-    this->desk.picker.onLoad(*this->held, sample);
+    this->desk.picker.onLoad(this->upstream(), sample);
 }
 
 void UpstreamLease::onFirstByte()
 {
-    if (!this->sawFirstByte) {
-        this->sawFirstByte = true;
-        this->desk.picker.onFirstByte(*this->held, this->desk.query(this->want));
+    if (!std::exchange(this->isRead, true)) {
+        this->desk.picker.onRead(this->upstream(), this->pick.work);
+        this->desk.backlogChanged();
     }
 }
 
-UpstreamDesk::UpstreamDesk(PickerOptions options, const Clock &clock, std::uint64_t seed)
+UpstreamDesk::UpstreamDesk(PickerOptions options, PromptBacklog &backlog, const Clock &clock,
+                           std::uint64_t seed, std::function<void()> backlogChanged)
     : clock(clock)
-    , picker(std::move(options), clock, seed)
+    , picker(std::move(options), backlog, clock, seed)
+    , backlogChanged(std::move(backlogChanged))
 { }
 
 void UpstreamDesk::setUpstreams(std::shared_ptr<const UpstreamList> next, int instances)
@@ -46,18 +48,6 @@
     this->pump();
 }
 
-PickQuery UpstreamDesk::query(const UpstreamWant &want) const
-{
-    PickQuery query;
-    query.avoid = want.avoid;
-    query.affinityKey = want.affinityKey;
-    query.ownTokens = want.ownTokens;
-    query.sharedTokens = want.sharedTokens;
-    query.liveInstances = this->liveInstances;
-    query.isEngine = want.isEngine;
-    return query;
-}
-
 Pick UpstreamDesk::pick(const UpstreamWant &want)
 {
     this->candidates.clear();
@@ -66,11 +56,19 @@
             this->candidates.push_back(upstream);
         }
     }
-    PickQuery query = this->query(want);
+    PickQuery query;
     query.candidates = this->candidates;
+    query.avoid = want.avoid;
+    query.affinityKey = want.affinityKey;
+    query.ownWork = want.ownWork;
+    query.sharedWork = want.sharedWork;
+    query.sharedTokens = want.sharedTokens;
+    query.liveInstances = this->liveInstances;
+    query.isEngine = want.isEngine;
     Pick picked = this->picker.pick(query);
     if (picked.upstream) {
-        this->picker.onSent(*picked.upstream, query);
+        this->picker.onSent(*picked.upstream, picked.work);
+        this->backlogChanged();
     }
     return picked;
 }
@@ -93,9 +91,8 @@
 {
     Pick picked = this->pick(want);
     if (picked.upstream) {
-        return {std::make_unique<UpstreamLease>(*this, std::move(picked.upstream), want),
-                AcquireProblem::None,
-                {}};
+        return {
+            std::make_unique<UpstreamLease>(*this, std::move(picked)), AcquireProblem::None, {}};
     }
     if (picked.problem == PickProblem::NoUpstream) {
         return {nullptr, AcquireProblem::NoUpstream, {}};
@@ -106,16 +103,16 @@
         || longestWait <= Duration::zero()) {
         return {nullptr, AcquireProblem::TooBusy, expected.comeBackAfter(before)};
     }
-    Waiter waiter{want, cancelled, nullptr};
+    Waiter waiter{want, cancelled, {}};
     auto place = this->waiters.begin();
     while (place != this->waiters.end() && (*place)->want.priority <= want.priority) {
         ++place;
     }
     const auto own = this->waiters.insert(place, &waiter);
     (void)waiter.ready.waitFor(longestWait);
-    if (waiter.given) {
+    if (waiter.given.upstream) {
         cancelled.reset();
-        return {std::make_unique<UpstreamLease>(*this, std::move(waiter.given), want),
+        return {std::make_unique<UpstreamLease>(*this, std::move(waiter.given)),
                 AcquireProblem::None,
                 {}};
     }
@@ -130,7 +127,7 @@
         Waiter &waiter = **place;
         Pick picked = this->pick(waiter.want);
         if (picked.upstream) {
-            waiter.given = std::move(picked.upstream);
+            waiter.given = std::move(picked);
             place = this->waiters.erase(place);
             waiter.ready.set();
         } else {
--- a/kernel/src/relay/UpstreamDesk.h
+++ b/kernel/src/relay/UpstreamDesk.h
@@ -6,6 +6,7 @@
 #include <runtime/FiberEvent.h>
 
 #include <algorithm>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -38,7 +39,8 @@
     VersionFilter versions;
     std::vector<std::string> avoid; ///< Ids that have failed it.
     std::uint64_t affinityKey = 0;
-    int ownTokens = 0;
+    Duration ownWork{};    ///< Engine time for the part of the prompt that nobody shares.
+    Duration sharedWork{}; ///< Engine time for the part that may be cached.
     int sharedTokens = 0;
     bool isEngine = false;
     int priority = 0; ///< 0 is the most urgent.
@@ -50,22 +52,24 @@
 class UpstreamLease
 {
 public:
-    UpstreamLease(UpstreamDesk &desk, UpstreamRef upstream, const UpstreamWant &want);
+    UpstreamLease(UpstreamDesk &desk, Pick pick);
     ~UpstreamLease();
     UpstreamLease(const UpstreamLease &) = delete;
     UpstreamLease &operator=(const UpstreamLease &) = delete;
 
-    const UpstreamRecord &upstream() const { return *this->held; }
+    const UpstreamRecord &upstream() const { return *this->pick.upstream; }
+    /// Engine time until the prompt should be read there.
+    Duration expectedRead() const { return this->pick.ahead + this->pick.work; }
     void onLoad(const LoadSample &sample);
+    /// The first byte of the answer came: the prompt has been read.
     void onFirstByte();
     /// How it ended, for the upstream's health; left out when the caller went away.
     void setResult(AttemptResult result) { this->result = result; }
 
 private:
     UpstreamDesk &desk;
-    UpstreamRef held;
-    const UpstreamWant want;
-    bool sawFirstByte = false;
+    const Pick pick;
+    bool isRead = false;
     std::optional<AttemptResult> result;
 };
 
@@ -87,7 +91,10 @@
 class UpstreamDesk
 {
 public:
-    UpstreamDesk(PickerOptions options, const Clock &clock, std::uint64_t seed);
+    /// `backlog` must outlive the desk; `backlogChanged` is called when this instance has changed
+    /// it.
+    UpstreamDesk(PickerOptions options, PromptBacklog &backlog, const Clock &clock,
+                 std::uint64_t seed, std::function<void()> backlogChanged);
 
     void setUpstreams(std::shared_ptr<const UpstreamList> list, int liveInstances);
     /// Blocks the calling fiber for at most `longestWait`; `cancelled` ends the wait early. Says at
@@ -103,17 +110,17 @@
     {
         const UpstreamWant &want;
         FiberEvent ready; ///< Set when it has a place or has been cancelled.
-        UpstreamRef given;
+        Pick given;
     };
 
     Pick pick(const UpstreamWant &want);
     QueueForecast &forecast(const std::string &service);
     /// Waiting requests that would go before `want`.
     std::size_t ahead(const UpstreamWant &want) const;
-    PickQuery query(const UpstreamWant &want) const;
 
     const Clock &clock;
     UpstreamPicker picker;
+    const std::function<void()> backlogChanged;
     std::shared_ptr<const UpstreamList> list = std::make_shared<UpstreamList>();
     int liveInstances = 1;
     std::list<Waiter *> waiters;         ///< Most urgent first, then in order of arrival.
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -75,14 +75,14 @@
     , clock(clock)
     , log(log)
     , metrics(metrics)
-    , incarnation(absl::StrCat(this->settings.instance, "-", randomHex(kIncarnationBytes)))
+    , ownIncarnation(absl::StrCat(this->settings.instance, "-", randomHex(kIncarnationBytes)))
     , peerSettings(peerPart(this->settings))
     , client(this->runtime)
     , store(adapter.makeStore(this->client))
     , tables(allTables(adapter.codec()))
     , presence({}, clock)
-    , gossip(memberOf(this->settings, this->incarnation), firstMemberVersion(clock), {}, clock,
-             hash64(this->incarnation))
+    , gossip(memberOf(this->settings, this->ownIncarnation), firstMemberVersion(clock), {}, clock,
+             hash64(this->ownIncarnation))
     , peers(this->runtime, this->peerSettings, this->gossip, metrics)
     , relay(this->runtime, this->gossip, this->peers, this->replica,
             [this](const Record &record) { return this->takeRecord(record, "peer"); })
@@ -92,7 +92,7 @@
           {[this](const std::string &table, const RecordPage &page) { this->onTable(table, page); },
            [this](const std::string &, const RecordPage &page) { this->onChanges(page); },
            [this](bool answers) { this->onStoreAccess(answers); }},
-          clock, log, metrics, hash64(this->incarnation, 1))
+          clock, log, metrics, hash64(this->ownIncarnation, 1))
 {
     this->addSeeds();
     this->peers.onRumors([this] { this->onRumors(); });
@@ -316,9 +316,8 @@
         return !this->knownCrashes.contains(rumor.id.name);
     });
     for (const RumorKind ofRollouts : {RumorKind::Verdict, RumorKind::CrashedUpstream}) {
-        this->gossip.store().forget(ofRollouts, [&](const Rumor &rumor) {
-            return !this->rollouts.isUnderWay(rumor);
-        });
+        this->gossip.store().forget(
+            ofRollouts, [&](const Rumor &rumor) { return !this->rollouts.isUnderWay(rumor); });
     }
 }
 
@@ -359,7 +358,8 @@
         }
         if (member.state == MemberState::Alive) {
             ++next->liveInstances;
-            next->directory.push_back({member.name, member.callers, member.failureDomain});
+            next->directory.push_back(
+                {member.name, member.callers, member.peers, member.failureDomain});
         }
     }
     next->liveInstances = std::max(1, next->liveInstances);
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -48,6 +48,8 @@
     void setListener(SiteListener listener) { this->listener = std::move(listener); }
     absl::Status start();
     std::shared_ptr<const SiteView> view() const { return this->published.get(); }
+    /// Distinguishes this process from others of the same instance.
+    const std::string &incarnation() const { return this->ownIncarnation; }
     void onAnswer(AnswerReport report);
     /// An upstream crashed while it ran a request; tells the other instances.
     void onCrash(std::string fingerprint, std::string upstream);
@@ -84,7 +86,7 @@
     const Clock &clock;
     EventLog &log;
     Metrics &metrics;
-    const std::string incarnation;
+    const std::string ownIncarnation;
     Settings peerSettings; ///< The part of the settings that PeerDesk reads.
     SiteListener listener;
     Published<SiteView> published;
--- a/kernel/src/site/SiteView.h
+++ b/kernel/src/site/SiteView.h
@@ -30,6 +30,7 @@
 {
     std::string name;
     Endpoint callers;
+    Endpoint peers; ///< Where other instances reach it.
     std::string failureDomain;
 };
 
--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <base/Clock.h>
+#include <decision/PromptBacklog.h>
 #include <decision/UpstreamHealth.h>
 #include <upstreams/UpstreamList.h>
 
@@ -32,7 +33,8 @@
     std::string ownDomain;
     Duration otherDomainPenalty = std::chrono::milliseconds(2); ///< A round trip between domains.
     Duration sampleAge = std::chrono::milliseconds(1500); ///< An older load sample says nothing.
-    double prefillTokensPerMs = 16; ///< Prompt tokens that an engine reads beside its other work.
+    /// What reading 1,000 shared tokens again costs operators, as a delay that is as bad.
+    Duration rereadPer1000 = std::chrono::milliseconds(30);
     Duration perRunning = std::chrono::milliseconds(3); ///< Added delay for each running request.
     double nearBest = 0.1; ///< Scores within this share of the best count as equal.
     Duration nearBestSlack = std::chrono::milliseconds(2);
@@ -45,8 +47,9 @@
     std::span<const UpstreamRef> candidates;
     std::span<const std::string> avoid; ///< Ids that have failed this request.
     std::uint64_t affinityKey = 0;      ///< Of the shared prompt parts; 0: none.
-    int ownTokens = 0;                  ///< Prompt tokens that no other request shares.
-    int sharedTokens = 0;               ///< Prompt tokens that may be cached.
+    Duration ownWork{};    ///< Engine time for the prompt that no other request shares.
+    Duration sharedWork{}; ///< Engine time for the prompt that may be cached.
+    int sharedTokens = 0;  ///< Tokens of that.
     int liveInstances = 1;
     bool isEngine = false;
 };
@@ -61,21 +64,25 @@
 {
     UpstreamRef upstream; ///< Null when there is a problem.
     PickProblem problem = PickProblem::NoUpstream;
+    Duration work{};  ///< Engine time that its prompt takes there.
+    Duration ahead{}; ///< Engine time of the prompts that are read before it.
 };
 
 /// One thread.
 class UpstreamPicker
 {
 public:
-    UpstreamPicker(PickerOptions options, const Clock &clock, std::uint64_t seed);
+    /// `backlog` must outlive the picker.
+    UpstreamPicker(PickerOptions options, PromptBacklog &backlog, const Clock &clock,
+                   std::uint64_t seed);
 
     Pick pick(const PickQuery &query);
-    void onSent(const UpstreamRecord &upstream, const PickQuery &query);
-    /// The first byte of the answer came; its prompt has been read.
-    void onFirstByte(const UpstreamRecord &upstream, const PickQuery &query);
-    /// `sawFirstByte`: onFirstByte was called. True when the result has paused the upstream.
-    bool onEnded(const UpstreamRecord &upstream, const PickQuery &query, bool sawFirstByte,
-                 std::optional<AttemptResult> result);
+    /// `work`: as the pick said.
+    void onSent(const UpstreamRecord &upstream, Duration work);
+    /// The prompt has been read, or never will be. Once for each send.
+    void onRead(const UpstreamRecord &upstream, Duration work);
+    /// True when the result has paused the upstream.
+    bool onEnded(const UpstreamRecord &upstream, std::optional<AttemptResult> result);
     void onLoad(const UpstreamRecord &upstream, const LoadSample &sample);
     /// Forgets upstreams that are not in `list`.
     void retain(const UpstreamList &list);
@@ -87,8 +94,8 @@
             : health(health)
         { }
         UpstreamHealth health;
-        int inFlight = 0;        ///< Sent by this instance and not ended.
-        double unreadTokens = 0; ///< Prompt tokens sent and not yet known to be read.
+        std::uint32_t backlogKey = 0;
+        int inFlight = 0; ///< Sent by this instance and not ended.
         LoadSample sample;
         TimePoint sampledAt{};
         int inFlightAtSample = 0;
@@ -103,24 +110,26 @@
     {
         const UpstreamRef *upstream = nullptr;
         double ms = 0;
+        Duration work{};
+        Duration ahead{};
         bool isHealthy = true;
         bool isFull = false;
     };
     /// The upstream that is taken to hold the shared prompt of a request; null without one.
     static const UpstreamRecord *home(const PickQuery &query);
-    double scoreMs(const UpstreamRecord &upstream, const State &state, const PickQuery &query,
-                   bool isHome) const;
+    Scored score(const UpstreamRef &upstream, const PickQuery &query, bool isHome);
     /// Fills `scored` with the candidates that have not failed the request.
     void scoreAll(const PickQuery &query);
     /// One of the best of `scored` at random; null when none has room.
-    const UpstreamRef *pickNearBest(bool healthyOnly);
+    const Scored *pickNearBest(bool healthyOnly);
 
     const PickerOptions options;
+    PromptBacklog &backlog;
     const Clock &clock;
     std::mt19937_64 random;
     std::map<std::string, State, std::less<>> states;
     std::vector<Scored> scored;
-    std::vector<const UpstreamRef *> nearBest;
+    std::vector<const Scored *> nearBest;
 };
 
 } // namespace basilnotch
--- /dev/null
+++ b/libs/decision/src/PromptSpeed.cpp
@@ -0,0 +1,39 @@
+// An asymmetric moving mean: it falls quickly and rises slowly.
+#include <decision/PromptSpeed.h>
+
+#include <algorithm>
+
+namespace basilnotch {
+
+PromptSpeed::PromptSpeed(PromptSpeedOptions options)
+    : options(options)
+{ }
+
+void PromptSpeed::onFirstToken(const std::string &model, int uncached, Duration took)
+{
+    if (uncached < this->options.leastTokens) {
+        return;
+    }
+    const double sample = static_cast<double>(took.count()) / uncached;
+    const auto found = this->nanosPerToken.find(model);
+    if (found == this->nanosPerToken.end()) {
+        this->nanosPerToken.emplace(model, sample);
+        return;
+    }
+    double &estimate = found->second;
+    const double counted = std::min(sample, this->options.mostSlower * estimate);
+    const double weight =
+        counted < estimate ? this->options.fasterWeight : this->options.slowerWeight;
+    estimate += weight * (counted - estimate);
+}
+
+Duration PromptSpeed::readTime(const std::string &model, int tokens) const
+{
+    const auto found = this->nanosPerToken.find(model);
+    const double perToken = found == this->nanosPerToken.end()
+        ? static_cast<double>(this->options.firstPerToken.count())
+        : found->second;
+    return Duration(static_cast<std::int64_t>(perToken * std::max(tokens, 0)));
+}
+
+} // namespace basilnotch
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -23,8 +23,10 @@
 
 } // namespace
 
-UpstreamPicker::UpstreamPicker(PickerOptions options, const Clock &clock, std::uint64_t seed)
+UpstreamPicker::UpstreamPicker(PickerOptions options, PromptBacklog &backlog, const Clock &clock,
+                               std::uint64_t seed)
     : options(std::move(options))
+    , backlog(backlog)
     , clock(clock)
     , random(seed)
 { }
@@ -35,6 +37,7 @@
     if (found == this->states.end() || found->second.bornMs != upstream.bornMs) {
         State fresh(UpstreamHealth(this->options.health, this->clock));
         fresh.bornMs = upstream.bornMs;
+        fresh.backlogKey = PromptBacklog::keyOf(upstream);
         return this->states.insert_or_assign(upstream.id, fresh).first->second;
     }
     return found->second;
@@ -52,20 +55,30 @@
     return std::max(state.inFlight, state.sample.running + state.sample.waiting + since);
 }
 
-double UpstreamPicker::scoreMs(const UpstreamRecord &upstream, const State &state,
-                               const PickQuery &query, bool isHome) const
+UpstreamPicker::Scored UpstreamPicker::score(const UpstreamRef &upstream, const PickQuery &query,
+                                             bool isHome)
 {
+    const State &state = this->state(*upstream);
     const double load = this->load(state, query.liveInstances);
-    double score = inMs(this->options.perRunning) * load;
+    Scored item;
+    item.upstream = &upstream;
+    item.ms = inMs(this->options.perRunning) * load;
     if (query.isEngine) {
-        const int uncached = query.ownTokens + (isHome ? 0 : query.sharedTokens);
-        const double tokens = state.unreadTokens + uncached;
-        score += tokens / this->options.prefillTokensPerMs;
+        item.work = query.ownWork + (isHome ? Duration::zero() : query.sharedWork);
+        item.ahead = this->backlog.unread(state.backlogKey);
+        item.ms += inMs(item.ahead + item.work);
+        constexpr double kThousand = 1000;
+        const double rereadThousands = isHome ? 0 : query.sharedTokens / kThousand;
+        item.ms += rereadThousands * inMs(this->options.rereadPer1000);
     }
-    if (upstream.failureDomain != this->options.ownDomain) {
-        score += inMs(this->options.otherDomainPenalty);
+    if (upstream->failureDomain != this->options.ownDomain) {
+        item.ms += inMs(this->options.otherDomainPenalty);
     }
-    return score * (1 + 2 * state.health.failureShare());
+    item.ms *= 1 + 2 * state.health.failureShare();
+    const bool isTried = state.health.isOnTrial() && state.inFlight > 0;
+    item.isHealthy = !state.health.isPaused() && !isTried;
+    item.isFull = load >= std::max(1.0, this->options.fillLimit * upstream->slots);
+    return item;
 }
 
 const UpstreamRecord *UpstreamPicker::home(const PickQuery &query)
@@ -90,23 +103,13 @@
     this->scored.clear();
     const UpstreamRecord *home = UpstreamPicker::home(query);
     for (const UpstreamRef &candidate : query.candidates) {
-        if (contains(query.avoid, candidate->id)) {
-            continue;
+        if (!contains(query.avoid, candidate->id)) {
+            this->scored.push_back(this->score(candidate, query, candidate.get() == home));
         }
-        const State &state = this->state(*candidate);
-        const bool isHome = candidate.get() == home;
-        const bool isTried = state.health.isOnTrial() && state.inFlight > 0;
-        const double room = std::max(1.0, this->options.fillLimit * candidate->slots);
-        Scored item;
-        item.upstream = &candidate;
-        item.ms = this->scoreMs(*candidate, state, query, isHome);
-        item.isHealthy = !state.health.isPaused() && !isTried;
-        item.isFull = this->load(state, query.liveInstances) >= room;
-        this->scored.push_back(item);
     }
 }
 
-const UpstreamRef *UpstreamPicker::pickNearBest(bool healthyOnly)
+const UpstreamPicker::Scored *UpstreamPicker::pickNearBest(bool healthyOnly)
 {
     const auto isUsable = [healthyOnly](const Scored &item) {
         return !item.isFull && (item.isHealthy || !healthyOnly);
@@ -119,7 +122,7 @@
     this->nearBest.clear();
     for (const Scored &item : this->scored) {
         if (isUsable(item) && item.ms <= limit) {
-            this->nearBest.push_back(item.upstream);
+            this->nearBest.push_back(&item);
         }
     }
     return this->nearBest.empty() ? nullptr
@@ -130,36 +133,36 @@
 {
     this->scoreAll(query);
     if (this->scored.empty()) {
-        return {nullptr, PickProblem::NoUpstream};
+        return {nullptr, PickProblem::NoUpstream, {}, {}};
     }
     const bool anyHealthy = std::any_of(this->scored.begin(), this->scored.end(),
                                         [](const Scored &item) { return item.isHealthy; });
     // When all look sick it is likelier that this instance misjudges them.
-    const UpstreamRef *picked = this->pickNearBest(anyHealthy);
-    return picked ? Pick{*picked, PickProblem::None} : Pick{nullptr, PickProblem::AllFull};
+    const Scored *picked = this->pickNearBest(anyHealthy);
+    return picked ? Pick{*picked->upstream, PickProblem::None, picked->work, picked->ahead}
+                  : Pick{nullptr, PickProblem::AllFull, {}, {}};
 }
 
-void UpstreamPicker::onSent(const UpstreamRecord &upstream, const PickQuery &query)
+void UpstreamPicker::onSent(const UpstreamRecord &upstream, Duration work)
 {
     State &state = this->state(upstream);
     ++state.inFlight;
-    state.unreadTokens += query.ownTokens;
+    if (work > Duration::zero()) {
+        this->backlog.onSent(state.backlogKey, work);
+    }
 }
 
-void UpstreamPicker::onFirstByte(const UpstreamRecord &upstream, const PickQuery &query)
+void UpstreamPicker::onRead(const UpstreamRecord &upstream, Duration work)
 {
-    State &state = this->state(upstream);
-    state.unreadTokens = std::max(0.0, state.unreadTokens - query.ownTokens);
+    if (work > Duration::zero()) {
+        this->backlog.onRead(this->state(upstream).backlogKey, work);
+    }
 }
 
-bool UpstreamPicker::onEnded(const UpstreamRecord &upstream, const PickQuery &query,
-                             bool sawFirstByte, std::optional<AttemptResult> result)
+bool UpstreamPicker::onEnded(const UpstreamRecord &upstream, std::optional<AttemptResult> result)
 {
     State &state = this->state(upstream);
     state.inFlight = std::max(0, state.inFlight - 1);
-    if (!sawFirstByte) {
-        state.unreadTokens = std::max(0.0, state.unreadTokens - query.ownTokens);
-    }
     return result && state.health.onResult(*result);
 }
 
--- a/libs/decision/tests/PickerTest.cpp
+++ b/libs/decision/tests/PickerTest.cpp
@@ -30,12 +30,14 @@
 struct PickerWorld
 {
     ManualClock clock;
+    PromptBacklog backlog;
     std::vector<UpstreamRef> upstreams;
     UpstreamPicker picker;
 
     PickerWorld(int count, int slots)
-        : upstreams(makeUpstreams(count, slots))
-        , picker({}, this->clock, 1)
+        : backlog({}, 1, this->clock)
+        , upstreams(makeUpstreams(count, slots))
+        , picker({}, this->backlog, this->clock, 1)
     { }
 
     PickQuery query() const
@@ -52,8 +54,8 @@
 {
     PickerWorld world(2, 4);
     const UpstreamRecord &crashed = *world.upstreams[0];
-    world.picker.onSent(crashed, world.query());
-    CHECK(world.picker.onEnded(crashed, world.query(), false, AttemptResult::NoContact));
+    world.picker.onSent(crashed, {});
+    CHECK(world.picker.onEnded(crashed, AttemptResult::NoContact));
     for (int count = 0; count < 20; ++count) {
         CHECK(world.picker.pick(world.query()).upstream->id == "u1");
     }
@@ -62,7 +64,7 @@
     for (int count = 0; count < 50; ++count) {
         const UpstreamRef upstream = world.picker.pick(world.query()).upstream;
         if (picked.insert(upstream->id).second) {
-            world.picker.onSent(*upstream, world.query());
+            world.picker.onSent(*upstream, {});
         }
     }
     CHECK(picked.size() == 2);
@@ -79,16 +81,14 @@
     const UpstreamRecord &usual = *world.upstreams[1];
     bool paused = false;
     for (int count = 0; count < 40; ++count) {
-        world.picker.onSent(usual, world.query());
-        CHECK_FALSE(
-            world.picker.onEnded(usual, world.query(), true,
-                                 count % 7 == 0 ? AttemptResult::Failed : AttemptResult::Good));
+        world.picker.onSent(usual, {});
+        CHECK_FALSE(world.picker.onEnded(
+            usual, count % 7 == 0 ? AttemptResult::Failed : AttemptResult::Good));
     }
     for (int count = 0; count < 12; ++count) {
-        world.picker.onSent(grey, world.query());
-        paused |=
-            world.picker.onEnded(grey, world.query(), true,
-                                 count % 3 == 0 ? AttemptResult::Good : AttemptResult::Failed);
+        world.picker.onSent(grey, {});
+        paused |= world.picker.onEnded(
+            grey, count % 3 == 0 ? AttemptResult::Good : AttemptResult::Failed);
     }
     CHECK(paused);
 }
@@ -97,8 +97,8 @@
 {
     PickerWorld world(2, 4);
     for (const UpstreamRef &upstream : world.upstreams) {
-        world.picker.onSent(*upstream, world.query());
-        world.picker.onEnded(*upstream, world.query(), false, AttemptResult::NoContact);
+        world.picker.onSent(*upstream, {});
+        world.picker.onEnded(*upstream, AttemptResult::NoContact);
     }
     CHECK(world.picker.pick(world.query()).upstream != nullptr);
 }
@@ -107,7 +107,7 @@
 {
     PickerWorld world(1, 2);
     for (int count = 0; count < 2; ++count) {
-        world.picker.onSent(*world.upstreams[0], world.query());
+        world.picker.onSent(*world.upstreams[0], {});
     }
     CHECK(world.picker.pick(world.query()).problem == PickProblem::AllFull);
     PickQuery none;
@@ -124,7 +124,8 @@
     PickQuery query = world.query();
     query.isEngine = true;
     query.affinityKey = 77;
-    query.ownTokens = 600;
+    query.ownWork = milliseconds(38);
+    query.sharedWork = milliseconds(338);
     query.sharedTokens = 5400;
     std::set<std::string> homes;
     for (int count = 0; count < 40; ++count) {
@@ -149,6 +150,7 @@
         PickQuery query = first.query();
         query.isEngine = true;
         query.affinityKey = key;
+        query.sharedWork = milliseconds(310);
         query.sharedTokens = 5000;
         std::set<std::string> homes;
         for (int count = 0; count < 30; ++count) {
