--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -96,9 +96,13 @@
 bool RelayRun::dropsForLargeModel(const Attempt &attempt, const UpstreamHeaders &read)
 {
     const Route &route = *this->request.route;
-    const bool possible = read.confidence && !attempt.model.empty() && !this->usesLargestModel()
-        && !this->stream.begun() && route.mayRunAgain() && this->sends < route.maxAttempts;
-    if (!possible) {
+    if (!read.confidence || attempt.model.empty() || this->usesLargestModel()
+        || this->stream.begun()) {
+        return false;
+    }
+    this->confidence = read.confidence;
+    if (!route.mayRunAgain() || this->sends >= route.maxAttempts) {
+        this->cascadeOutcome = "no attempt left";
         return false;
     }
     const CallerHeaders &caller = this->request.caller;
@@ -118,8 +122,16 @@
         const auto cost = engine->costByModel.find(route.modelsBySize.back());
         question.costPerThousand = cost == engine->costByModel.end() ? 0 : cost->second;
     }
-    return this->context.cascade.wantsLargeModel(question)
-        && this->retryWindow().take(this->request.view->liveInstances);
+    const CascadeVerdict verdict = this->context.cascade.judge(question);
+    this->cascadeOutcome = verdictName(verdict);
+    if (verdict != CascadeVerdict::AskLarge) {
+        return false;
+    }
+    const bool granted = this->retryWindow().take(this->request.view->liveInstances);
+    if (!granted) {
+        this->cascadeOutcome = "no budget for a second run";
+    }
+    return granted;
 }
 
 Duration RelayRun::queuePatience() const
@@ -353,6 +365,9 @@
         answer, this->context.dialect.forCaller(answer.headers()), longestPause, [&] {
             flowing = true;
             firstAt = this->context.clock.now();
+            if (!this->firstEventTook) {
+                this->firstEventTook = firstAt - this->request.arrivedAt;
+            }
             attempt.lease.onFirstByte();
             if (this->usesLargestModel()) {
                 this->context.cascade.onLargeFirstToken(firstAt - attempt.sentAt, route.goal);
@@ -486,7 +501,12 @@
          {"status", std::int64_t{status}},
          {"sends", std::int64_t{this->sends}},
          {"lastUpstream", upstream},
+         {"model", this->model},
+         {"confidence", std::int64_t{this->confidence.value_or(-1)}},
+         {"cascade", this->cascadeOutcome},
+         {"promptTokens", std::int64_t{this->request.caller.promptTokens}},
          {"events", this->stream.events()},
+         {"firstEventMs", this->firstEventTook ? wholeMillis(*this->firstEventTook) : -1},
          {"tookMs", wholeMillis(this->context.clock.now() - this->request.arrivedAt)},
          {"leftMs", wholeMillis(this->timeLeft())}});
 }
--- a/kernel/src/relay/RelayRun.h
+++ b/kernel/src/relay/RelayRun.h
@@ -89,7 +89,10 @@
     int sends = 0;    ///< That an upstream may have seen.
     int contacts = 0; ///< Connections that were tried.
     std::string lastProblem;
-    std::optional<Duration> comeBackAfter; ///< When a place may be free, if that is known.
+    std::optional<int> confidence;          ///< Of the smallest model in its answer.
+    std::string_view cascadeOutcome;        ///< What was decided about that answer, and why.
+    std::optional<Duration> firstEventTook; ///< From the request to the first event passed on.
+    std::optional<Duration> comeBackAfter;  ///< When a place may be free, if that is known.
 };
 
 } // namespace basilnotch
--- a/libs/decision/include/decision/AnswerCascade.h
+++ b/libs/decision/include/decision/AnswerCascade.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace basilnotch {
@@ -62,14 +63,22 @@
     int confidence = 0;          ///< 0 to 100.
 };
 
+enum class CascadeVerdict {
+    AskLarge, ///< The large model's answer is worth more than what it costs.
+    Sure,     ///< The small model's answer is good enough as far as it can tell.
+    TooLate,  ///< The large model would not finish in time.
+    TooDear,  ///< What the large model would gain is less than its cost and its engine time.
+};
+
+std::string_view verdictName(CascadeVerdict verdict);
+
 /// One thread.
 class AnswerCascade
 {
 public:
     AnswerCascade(CascadeOptions options, const Clock &clock);
 
-    /// True when the large model's answer is worth more than what it costs.
-    bool wantsLargeModel(const CascadeQuestion &question);
+    CascadeVerdict judge(const CascadeQuestion &question);
     /// A complete answer with `tokens` made, of a request that allowed `mostOutputTokens`.
     void onAnswered(const std::string &route, int promptTokens, int mostOutputTokens, int tokens);
     /// A first token of the large model came after `took`.
--- a/libs/decision/src/AnswerCascade.cpp
+++ b/libs/decision/src/AnswerCascade.cpp
@@ -103,16 +103,31 @@
     return base * std::min(fixed + (1 - fixed) * relative, this->options.mostWorth);
 }
 
-bool AnswerCascade::wantsLargeModel(const CascadeQuestion &question)
+std::string_view verdictName(CascadeVerdict verdict)
+{
+    switch (verdict) {
+    case CascadeVerdict::AskLarge:
+        return "ask the large model";
+    case CascadeVerdict::Sure:
+        return "sure";
+    case CascadeVerdict::TooLate:
+        return "too late for the large model";
+    case CascadeVerdict::TooDear:
+        return "large model too dear";
+    }
+    return "unknown";
+}
+
+CascadeVerdict AnswerCascade::judge(const CascadeQuestion &question)
 {
     const double doubt = 1 - this->goodChance(question.confidence);
     if (doubt < this->options.leastDoubt) {
-        return false;
+        return CascadeVerdict::Sure;
     }
     const RouteSizes &sizes = this->routes[question.route];
     const double output = this->expectedOutput(question, sizes);
     if (this->expectedTime(output) > this->options.timePart * question.timeLeft) {
-        return false;
+        return CascadeVerdict::TooLate;
     }
     const double gain = doubt * (1 - this->options.poorCredit) * this->worth(question, sizes);
     constexpr double kReadPart = 0.25; // A prompt token costs a quarter of a token made.
@@ -120,7 +135,7 @@
     const double cost =
         question.costPerThousand * (output + kReadPart * question.promptTokens) / kThousand;
     const double work = question.uncachedTokens + this->options.workPerToken * output;
-    return gain > cost + this->price() * work;
+    return gain > cost + this->price() * work ? CascadeVerdict::AskLarge : CascadeVerdict::TooDear;
 }
 
 } // namespace basilnotch
--- a/libs/decision/tests/AnswerCascadeTest.cpp
+++ b/libs/decision/tests/AnswerCascadeTest.cpp
@@ -34,18 +34,23 @@
     }
 }
 
+bool wantsLarge(AnswerCascade &cascade, const CascadeQuestion &question)
+{
+    return cascade.judge(question) == CascadeVerdict::AskLarge;
+}
+
 } // namespace
 
 TEST_CASE("with idle engines an unsure answer is asked again, a sure one is kept")
 {
     ManualClock clock;
     AnswerCascade cascade({}, clock);
-    CHECK(cascade.wantsLargeModel(plan(20)));
-    CHECK(cascade.wantsLargeModel(answer(20)));
-    CHECK(cascade.wantsLargeModel(summary(10)));
-    CHECK_FALSE(cascade.wantsLargeModel(plan(100)));
-    CHECK_FALSE(cascade.wantsLargeModel(answer(90)));
-    CHECK_FALSE(cascade.wantsLargeModel(summary(70)));
+    CHECK(wantsLarge(cascade, plan(20)));
+    CHECK(wantsLarge(cascade, answer(20)));
+    CHECK(wantsLarge(cascade, summary(10)));
+    CHECK_FALSE(wantsLarge(cascade, plan(100)));
+    CHECK_FALSE(wantsLarge(cascade, answer(90)));
+    CHECK_FALSE(wantsLarge(cascade, summary(70)));
 }
 
 TEST_CASE("a sure answer is kept even where the large model costs nothing")
@@ -54,9 +59,9 @@
     AnswerCascade cascade({}, clock);
     CascadeQuestion free = plan(95);
     free.costPerThousand = 0;
-    CHECK_FALSE(cascade.wantsLargeModel(free));
+    CHECK_FALSE(wantsLarge(cascade, free));
     free.confidence = 60;
-    CHECK(cascade.wantsLargeModel(free));
+    CHECK(wantsLarge(cascade, free));
 }
 
 TEST_CASE("a rush: what gains least for its work gives way first, the plans last")
@@ -68,9 +73,9 @@
     int plansUntil = -1;
     for (int step = 0; step < 60; ++step) {
         load(cascade, clock, seconds(4), milliseconds(200));
-        summariesUntil = cascade.wantsLargeModel(summary(10)) ? step : summariesUntil;
-        answersUntil = cascade.wantsLargeModel(answer(10)) ? step : answersUntil;
-        plansUntil = cascade.wantsLargeModel(plan(10)) ? step : plansUntil;
+        summariesUntil = wantsLarge(cascade, summary(10)) ? step : summariesUntil;
+        answersUntil = wantsLarge(cascade, answer(10)) ? step : answersUntil;
+        plansUntil = wantsLarge(cascade, plan(10)) ? step : plansUntil;
     }
     CHECK(summariesUntil < answersUntil);
     CHECK(answersUntil < plansUntil);
@@ -82,9 +87,9 @@
     ManualClock clock;
     AnswerCascade cascade({}, clock);
     load(cascade, clock, seconds(6), seconds(10));
-    CHECK_FALSE(cascade.wantsLargeModel(plan(10)));
+    CHECK_FALSE(wantsLarge(cascade, plan(10)));
     load(cascade, clock, milliseconds(300), seconds(8));
-    CHECK(cascade.wantsLargeModel(plan(10)));
+    CHECK(wantsLarge(cascade, plan(10)));
 }
 
 TEST_CASE("when nobody uses the large model any more, its price falls by itself")
@@ -96,7 +101,7 @@
         clock.advance(milliseconds(100));
         cascade.price();
     }
-    CHECK(cascade.wantsLargeModel(answer(10)));
+    CHECK(wantsLarge(cascade, answer(10)));
 }
 
 TEST_CASE("an answer that the large model could not finish in time stays with the small one")
@@ -111,9 +116,9 @@
     CascadeQuestion longOne = answer(10);
     longOne.mostOutputTokens = 2000;
     longOne.guessedOutputTokens = 1500;
-    CHECK_FALSE(cascade.wantsLargeModel(longOne));
+    CHECK_FALSE(wantsLarge(cascade, longOne));
     longOne.guessedOutputTokens = 200;
-    CHECK(cascade.wantsLargeModel(longOne));
+    CHECK(wantsLarge(cascade, longOne));
 }
 
 TEST_CASE("a large request of a route is worth more than a small one")
@@ -127,6 +132,6 @@
     small.mostOutputTokens = 10;
     small.promptTokens = 8'000; // Long to read, little to gain.
     small.uncachedTokens = 8'000;
-    CHECK_FALSE(cascade.wantsLargeModel(small));
-    CHECK(cascade.wantsLargeModel(answer(52)));
+    CHECK_FALSE(wantsLarge(cascade, small));
+    CHECK(wantsLarge(cascade, answer(52)));
 }
