--- a/libs/decision/include/decision/AnswerCascade.h
+++ b/libs/decision/include/decision/AnswerCascade.h
@@ -40,7 +40,7 @@
     /// dearer.
     double calmPart = 0.3;
     /// Part of the time left that the large model may be expected to need.
-    double timePart = 0.5;
+    double timePart = 0.6;
     double lowestPrice = 1e-6;  ///< Worth of a unit of work while engines are idle.
     double highestPrice = 2e-3; ///< Above this nothing is worth the large model.
     /// Change of the logarithm of the price in a second, for each unit of relative lateness.
--- a/libs/decision/src/AnswerCascade.cpp
+++ b/libs/decision/src/AnswerCascade.cpp
@@ -11,6 +11,11 @@
 
 constexpr double kLatenessWeight = 0.2;              // Of the newest first token.
 constexpr double kSizeWeight = 0.05;                 // Of the newest answer.
+constexpr double kPaceWeight = 0.05;                 // Of the newest answer; one is no sample.
+constexpr double kMostSlower = 3; // Times the usual pace that one slow answer counts as at most.
+/// With each request that is not given to the large model because it is slow, it is believed to be
+/// this much faster: else nobody would ever find out that it is.
+constexpr double kRelief = 0.97;
 constexpr Duration kQuiet = std::chrono::seconds(1); // Without first tokens, engines count as idle.
 constexpr double kLongestStep = 1.0; // Seconds that one update of the price may stand for.
 
@@ -57,9 +62,13 @@
 {
     constexpr int kEnoughTokens = 12; // Fewer say little about the time of one.
     if (tokens >= kEnoughTokens) {
+        const bool isFirst = this->timePerToken == Duration::zero();
         const Duration each = took / tokens;
+        const Duration most =
+            std::chrono::duration_cast<Duration>(kMostSlower * this->timePerToken);
+        const Duration change = (isFirst ? each : std::min(each, most)) - this->timePerToken;
         this->timePerToken +=
-            std::chrono::duration_cast<Duration>(kLatenessWeight * (each - this->timePerToken));
+            std::chrono::duration_cast<Duration>((isFirst ? 1 : kPaceWeight) * change);
     }
 }
 
@@ -127,6 +136,7 @@
     const RouteSizes &sizes = this->routes[question.route];
     const double output = this->expectedOutput(question, sizes);
     if (this->expectedTime(output) > this->options.timePart * question.timeLeft) {
+        this->timePerToken = std::chrono::duration_cast<Duration>(kRelief * this->timePerToken);
         return CascadeVerdict::TooLate;
     }
     const double gain = doubt * (1 - this->options.poorCredit) * this->worth(question, sizes);
