--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -33,6 +33,8 @@
 constexpr Duration kShortestStall = seconds(2);
 /// A repeat must still be able to answer: the first try gets this part of the time that is left.
 constexpr double kFirstTryPart = 0.45;
+/// Events between two samples of a stream's pace: about a second's worth.
+constexpr std::int64_t kPaceEvents = 6;
 constexpr Duration kComeBackSoon = milliseconds(250); ///< After a refusal by a moment's shortage.
 
 bool isEventStream(const HttpHeaders &headers)
@@ -356,7 +358,11 @@
         std::max(fromSeconds(kStallFactor * toSeconds(route.gapTarget)), kShortestStall);
     bool flowing = false;
     TimePoint firstAt{};
+    PaceSample pace;
     const auto longestPause = [&] {
+        if (flowing) {
+            this->learnPace(&pace);
+        }
         const bool mayMove = flowing && route.canResume && this->sends < route.maxAttempts
             && route.gapTarget > Duration::zero();
         return mayMove ? std::min(stall, this->timeLeft()) : this->timeLeft();
@@ -368,6 +374,7 @@
             if (!this->firstEventTook) {
                 this->firstEventTook = firstAt - this->request.arrivedAt;
             }
+            pace = {firstAt, this->stream.events()};
             attempt.lease.onFirstByte();
             if (this->usesLargestModel()) {
                 this->context.cascade.onLargeFirstToken(firstAt - attempt.sentAt, route.goal);
@@ -379,18 +386,12 @@
     if (end == StreamEnd::Complete) {
         attempt.lease.setResult(AttemptResult::Good);
         this->reportAnswer(attempt, AnswerOutcome::Good, firstAt - attempt.sentAt);
-        this->learnSize(this->context.clock.now() - firstAt);
+        this->learnSize();
         this->logEnd(LogKind::Routine, "request answered", "", status::kOk);
         return AttemptEnd::Answered;
     }
     answer.close();
     const bool outOfTime = this->timeLeft() < kLeastUseful;
-    if (outOfTime && flowing && this->usesLargestModel() && this->request.engine()) {
-        // Without the slow ones that did not finish, the model would look faster than it is.
-        this->context.cascade.onLargeFinished(this->context.clock.now() - firstAt,
-                                              static_cast<int>(this->stream.events())
-                                                  * this->request.engine()->tokensPerEvent);
-    }
     this->lastProblem = outOfTime ? "out of time" : "the stream broke off";
     if (!outOfTime) {
         attempt.lease.setResult(AttemptResult::Failed);
@@ -412,18 +413,29 @@
     }
 }
 
-void RelayRun::learnSize(Duration sinceFirst)
+void RelayRun::learnSize()
 {
     const EngineTraits *engine = this->request.engine();
     const CallerHeaders &caller = this->request.caller;
     if (engine && !caller.lastEventId) {
         const auto tokens = static_cast<int>(this->stream.events()) * engine->tokensPerEvent;
         this->context.cascade.onAnswered(this->request.route->name, caller.promptTokens,
-                                         caller.mostOutputTokens, tokens);
-        if (this->usesLargestModel()) {
-            this->context.cascade.onLargeFinished(sinceFirst, tokens);
-        }
+                                         caller.mostOutputTokens, tokens,
+                                         this->request.answerBy - this->request.arrivedAt);
+    }
+}
+
+void RelayRun::learnPace(PaceSample *sample) const
+{
+    const EngineTraits *engine = this->request.engine();
+    const std::int64_t events = this->stream.events() - sample->events;
+    if (!engine || events < kPaceEvents) {
+        return;
     }
+    const TimePoint now = this->context.clock.now();
+    this->context.cascade.onPace(now - sample->since,
+                                 static_cast<int>(events) * engine->tokensPerEvent);
+    *sample = {now, this->stream.events()};
 }
 
 RelayRun::AttemptEnd RelayRun::relayWhole(Attempt &attempt, HttpStream &answer)
--- a/kernel/src/relay/RelayRun.h
+++ b/kernel/src/relay/RelayRun.h
@@ -43,6 +43,13 @@
         bool versionMatters = false; ///< A roll-out of the service is under way.
     };
 
+    /// From where the pace of a stream is measured next.
+    struct PaceSample
+    {
+        TimePoint since;
+        std::int64_t events = 0;
+    };
+
     /// The model to ask; empty when the caller has named one.
     const std::string &chooseModel();
     /// The model that is asked, whoever chose it.
@@ -56,8 +63,10 @@
     AttemptEnd relayStream(Attempt &attempt, HttpStream &answer);
     AttemptEnd relayWhole(Attempt &attempt, HttpStream &answer);
     AttemptEnd onNoAnswer(Attempt &attempt, const absl::Status &status);
-    /// Tells the cascade how long the answers of the route are and how fast they come.
-    void learnSize(Duration sinceFirst);
+    /// Tells the cascade how long the answers of the route are.
+    void learnSize();
+    /// Tells the cascade how fast the events of a stream come, when there are enough of them.
+    void learnPace(PaceSample *sample) const;
     /// Tells how fast prompts are read, now that the first token has come.
     void learnPromptSpeed(const Attempt &attempt);
     void reportAnswer(const Attempt &attempt, AnswerOutcome outcome, Duration took);
--- a/libs/decision/include/decision/AnswerCascade.h
+++ b/libs/decision/include/decision/AnswerCascade.h
@@ -2,8 +2,9 @@
 // answer is kept or dropped for the largest model's, given what a good answer is worth, what the
 // large model costs, and how scarce engine time is.
 //
-// Answers the pattern of a rush: as first tokens of the large model get late, the price of engine
-// time rises, and the requests that gain least for each unit of work give way first.
+// Answers the pattern of a rush: as first tokens of the large model get late, or streams take much
+// of the time that their callers allow, the price of engine time rises, and the requests that gain
+// least for each unit of work give way first.
 #pragma once
 
 #include <base/Clock.h>
@@ -39,6 +40,9 @@
     /// Part of a route's goal that the large model's first token may take before its time gets
     /// dearer.
     double calmPart = 0.3;
+    /// Part of the time that callers allow which an answer may take after its first token before
+    /// engine time gets dearer: what is under way is lost when an instance or an engine is.
+    double calmStreamPart = 0.25;
     /// Part of the time left that the large model may be expected to need.
     double timePart = 0.6;
     double lowestPrice = 1e-6;  ///< Worth of a unit of work while engines are idle.
@@ -79,12 +83,14 @@
     AnswerCascade(CascadeOptions options, const Clock &clock);
 
     CascadeVerdict judge(const CascadeQuestion &question);
-    /// A complete answer with `tokens` made, of a request that allowed `mostOutputTokens`.
-    void onAnswered(const std::string &route, int promptTokens, int mostOutputTokens, int tokens);
+    /// A complete answer with `tokens` made, of a request that allowed `mostOutputTokens` and
+    /// `patience` for the whole.
+    void onAnswered(const std::string &route, int promptTokens, int mostOutputTokens, int tokens,
+                    Duration patience);
     /// A first token of the large model came after `took`.
     void onLargeFirstToken(Duration took, Duration goal);
-    /// The large model made `tokens` after its first one in `took`.
-    void onLargeFinished(Duration took, int tokens);
+    /// A stream has brought `tokens` in `took`; engines make the tokens of all models in turn.
+    void onPace(Duration took, int tokens);
     /// Worth of one unit of work of the largest model now.
     double price();
     double goodChance(int confidence) const;
@@ -101,14 +107,18 @@
     /// How long the large model would take from now on.
     Duration expectedTime(double output) const;
     double worth(const CascadeQuestion &question, const RouteSizes &sizes) const;
+    /// How far first tokens or streams are from calm; 0 at its edge, negative within.
+    double lateness() const;
 
     const CascadeOptions options;
     const Clock &clock;
     std::map<std::string, RouteSizes> routes;
-    double lateness = 0; ///< Moving mean of first-token times over the calm time, less 1.
-    TimePoint lateAt{};
+    double firstTokenLateness = -1; ///< Moving mean of the time over the calm time, less 1.
+    TimePoint firstTokenAt{};
     Duration firstToken{};   ///< Moving mean of the large model's.
-    Duration timePerToken{}; ///< Moving mean of the large model's.
+    Duration timePerToken{}; ///< Moving mean over all streams.
+    TimePoint pacedAt{};
+    double tokensPerSecond = 0; ///< Moving mean of what an answer needs to take all its time.
     double currentPrice;
     TimePoint pricedAt{};
 };
--- a/libs/decision/src/AnswerCascade.cpp
+++ b/libs/decision/src/AnswerCascade.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr double kLatenessWeight = 0.2;              // Of the newest first token.
-constexpr double kSizeWeight = 0.05;                 // Of the newest answer.
-constexpr double kPaceWeight = 0.05;                 // Of the newest answer; one is no sample.
+constexpr double kLatenessWeight = 0.2; // Of the newest first token.
+constexpr double kSizeWeight = 0.05;    // Of the newest answer.
+constexpr double kPaceWeight = 0.05;    // Of the newest answer; one is no sample.
 constexpr double kMostSlower = 3; // Times the usual pace that one slow answer counts as at most.
 /// With each request that is not given to the large model because it is slow, it is believed to be
 /// this much faster: else nobody would ever find out that it is.
@@ -35,15 +35,28 @@
     return 1 / (1 + std::exp(-distance));
 }
 
+double AnswerCascade::lateness() const
+{
+    const TimePoint now = this->clock.now();
+    double late = -1;
+    if (now - this->firstTokenAt < kQuiet) {
+        late = std::max(late, this->firstTokenLateness);
+    }
+    if (now - this->pacedAt < kQuiet) {
+        const double part = this->tokensPerSecond * toSeconds(this->timePerToken);
+        late = std::max(late, part / this->options.calmStreamPart - 1);
+    }
+    return std::min(late, this->options.mostLateness);
+}
+
 double AnswerCascade::price()
 {
     const TimePoint now = this->clock.now();
     const double passed = std::min(toSeconds(now - this->pricedAt), kLongestStep);
     this->pricedAt = now;
-    const double late = now - this->lateAt < kQuiet ? this->lateness : -1;
-    this->currentPrice =
-        std::clamp(this->currentPrice * std::exp(this->options.priceGain * late * passed),
-                   this->options.lowestPrice, this->options.highestPrice);
+    this->currentPrice = std::clamp(
+        this->currentPrice * std::exp(this->options.priceGain * this->lateness() * passed),
+        this->options.lowestPrice, this->options.highestPrice);
     return this->currentPrice;
 }
 
@@ -52,24 +65,28 @@
     this->price(); // Up to now by the lateness before.
     const double calm = std::max(this->options.calmPart * toSeconds(goal), 1e-3);
     const double late = std::min(toSeconds(took) / calm - 1, this->options.mostLateness);
-    this->lateness += kLatenessWeight * (late - this->lateness);
-    this->lateAt = this->clock.now();
+    this->firstTokenLateness += kLatenessWeight * (late - this->firstTokenLateness);
+    this->firstTokenAt = this->clock.now();
     this->firstToken +=
         std::chrono::duration_cast<Duration>(kLatenessWeight * (took - this->firstToken));
 }
 
-void AnswerCascade::onLargeFinished(Duration took, int tokens)
+void AnswerCascade::onPace(Duration took, int tokens)
 {
     constexpr int kEnoughTokens = 12; // Fewer say little about the time of one.
-    if (tokens >= kEnoughTokens) {
-        const bool isFirst = this->timePerToken == Duration::zero();
-        const Duration each = took / tokens;
-        const Duration most =
-            std::chrono::duration_cast<Duration>(kMostSlower * this->timePerToken);
-        const Duration change = (isFirst ? each : std::min(each, most)) - this->timePerToken;
-        this->timePerToken +=
-            std::chrono::duration_cast<Duration>((isFirst ? 1 : kPaceWeight) * change);
+    if (tokens < kEnoughTokens) {
+        return;
+    }
+    this->price();
+    this->pacedAt = this->clock.now();
+    const Duration each = took / tokens;
+    if (this->timePerToken == Duration::zero()) {
+        this->timePerToken = each;
+        return;
     }
+    const Duration most = std::chrono::duration_cast<Duration>(kMostSlower * this->timePerToken);
+    this->timePerToken += std::chrono::duration_cast<Duration>(
+        kPaceWeight * (std::min(each, most) - this->timePerToken));
 }
 
 double AnswerCascade::expectedOutput(const CascadeQuestion &question, const RouteSizes &sizes) const
@@ -89,8 +106,11 @@
 }
 
 void AnswerCascade::onAnswered(const std::string &route, int promptTokens, int mostOutputTokens,
-                               int tokens)
+                               int tokens, Duration patience)
 {
+    const double need = tokens / std::max(toSeconds(patience), 1e-3);
+    this->tokensPerSecond +=
+        (this->tokensPerSecond > 0 ? kSizeWeight : 1) * (need - this->tokensPerSecond);
     RouteSizes &sizes = this->routes[route];
     const double size = promptTokens + this->options.sizePerToken * mostOutputTokens;
     sizes.meanSize += (sizes.meanSize > 0 ? kSizeWeight : 1) * (size - sizes.meanSize);
--- a/libs/decision/tests/AnswerCascadeTest.cpp
+++ b/libs/decision/tests/AnswerCascadeTest.cpp
@@ -82,6 +82,26 @@
     CHECK(plansUntil < 59);
 }
 
+TEST_CASE("streams that crawl make engine time dear, though first tokens come at once")
+{
+    ManualClock clock;
+    AnswerCascade cascade({}, clock);
+    const auto crawl = [&](Duration perToken) {
+        for (int step = 0; step < 100; ++step) {
+            clock.advance(milliseconds(100));
+            cascade.onLargeFirstToken(milliseconds(300), kGoal);
+            cascade.onPace(perToken * 48, 48);
+            cascade.onAnswered("answers", 830, 740, 290, seconds(20));
+        }
+    };
+    crawl(milliseconds(10)); // An answer takes 3 s of 20.
+    CHECK(wantsLarge(cascade, summary(10)));
+    crawl(milliseconds(40)); // 12 s: each instance that is lost takes many with it.
+    CHECK_FALSE(wantsLarge(cascade, summary(10)));
+    crawl(milliseconds(10));
+    CHECK(wantsLarge(cascade, summary(10)));
+}
+
 TEST_CASE("after a rush the large model is used again within some seconds")
 {
     ManualClock clock;
@@ -111,7 +131,7 @@
     for (int count = 0; count < 40; ++count) {
         clock.advance(milliseconds(200));
         cascade.onLargeFirstToken(milliseconds(500), kGoal);
-        cascade.onLargeFinished(seconds(6), 300); // 20 ms a token
+        cascade.onPace(seconds(6), 300); // 20 ms a token
     }
     CascadeQuestion longOne = answer(10);
     longOne.mostOutputTokens = 2000;
@@ -126,7 +146,7 @@
     ManualClock clock;
     AnswerCascade cascade({}, clock);
     for (int count = 0; count < 50; ++count) {
-        cascade.onAnswered("answers", 830, 740, 290);
+        cascade.onAnswered("answers", 830, 740, 290, seconds(20));
     }
     CascadeQuestion small = answer(52);
     small.mostOutputTokens = 10;
