--- a/bench/capacity/DecisionCost.cpp
+++ b/bench/capacity/DecisionCost.cpp
@@ -53,8 +53,8 @@
         record.slots = 48;
         upstreams.push_back(std::make_shared<const UpstreamRecord>(record));
     }
-    PromptBacklog backlog({}, 1, clock);
-    UpstreamPicker picker({}, backlog, clock, 1);
+    EngineBeliefs beliefs{{{}, 1, clock}, {{}, clock}};
+    UpstreamPicker picker({}, beliefs, clock, 1);
     PickQuery query;
     query.candidates = upstreams;
     query.affinityKey = 7;
--- a/kernel/include/kernel/Site.h
+++ b/kernel/include/kernel/Site.h
@@ -99,6 +99,7 @@
     std::string model;                       ///< Set where the system chooses the model.
     std::optional<std::int64_t> lastEventId; ///< A stream goes on after this event.
     std::optional<int> priority;             ///< 0 is the most urgent.
+    std::optional<Endpoint> fetchFrom;       ///< An engine that has the shared prompt cached.
 };
 
 /// What the headers of an upstream's answer say.
--- a/kernel/src/relay/BacklogExchange.cpp
+++ b/kernel/src/relay/BacklogExchange.cpp
@@ -21,9 +21,14 @@
 /// A collector gathers what its members tell within this time: a tenth of a usual prompt.
 constexpr Duration kCollectPause = milliseconds(15);
 
-void append(std::vector<BacklogNote> *notes, const std::vector<BacklogNote> &more)
+/// Part `index` of a list that is cut into parts of kMostBacklogNotes.
+template <typename Note>
+std::vector<Note> partOf(const std::vector<Note> &list, std::size_t index)
 {
-    notes->insert(notes->end(), more.begin(), more.end());
+    const std::size_t from = std::min(index * kMostBacklogNotes, list.size());
+    const std::size_t to = std::min(from + kMostBacklogNotes, list.size());
+    return {list.begin() + static_cast<std::ptrdiff_t>(from),
+            list.begin() + static_cast<std::ptrdiff_t>(to)};
 }
 
 std::string collectorOf(const std::string &failureDomain, const std::vector<std::string> &names)
@@ -71,10 +76,10 @@
 }
 
 BacklogExchange::BacklogExchange(FiberRuntime &runtime, const std::string &self,
-                                 const Endpoint &listen, PromptBacklog &backlog, Metrics &metrics)
+                                 const Endpoint &listen, EngineBeliefs &beliefs, Metrics &metrics)
     : runtime(runtime)
     , self(self)
-    , backlog(backlog)
+    , beliefs(beliefs)
     , socket(runtime, listen, [this](std::string_view datagram) { this->onDatagram(datagram); })
     , sent(metrics.counter("backlog_datagrams_sent_total"))
     , received(metrics.counter("backlog_datagrams_received_total"))
@@ -96,9 +101,16 @@
     this->flushSoon(this->peers.isCollector ? kCollectPause : kOwnPause);
 }
 
+void BacklogExchange::onPromptRead(const PlaceNote &note)
+{
+    this->own.places.push_back(note);
+    this->onChanged();
+}
+
 void BacklogExchange::refresh()
 {
-    this->backlog.expire();
+    this->beliefs.backlog.expire();
+    this->beliefs.places.expire();
     this->onChanged();
 }
 
@@ -111,13 +123,17 @@
         return;
     }
     std::erase_if(message->notes,
-                  [this](const BacklogNote &note) { return !this->backlog.take(note); });
-    if (message->notes.empty() || message->stage == BacklogStage::ToMembers) {
+                  [this](const BacklogNote &note) { return !this->beliefs.backlog.take(note); });
+    for (const PlaceNote &place : message->places) {
+        this->beliefs.places.onRead(place);
+    }
+    if (message->stage == BacklogStage::ToMembers) {
         return;
     }
-    append(&this->forMembers, message->notes);
+    const Pending heard{std::move(message->notes), std::move(message->places)};
+    this->forMembers.add(heard);
     if (message->stage == BacklogStage::ToCollector) {
-        append(&this->forCollectors, message->notes);
+        this->forCollectors.add(heard);
     }
     this->flushSoon(kCollectPause);
 }
@@ -136,26 +152,32 @@
 
 void BacklogExchange::flush()
 {
-    const std::vector<BacklogNote> own = this->backlog.takeNews();
+    this->own.notes = this->beliefs.backlog.takeNews();
+    const Pending told = std::exchange(this->own, {});
     if (this->peers.collector) {
-        this->send(BacklogStage::ToCollector, own, {*this->peers.collector});
+        this->send(BacklogStage::ToCollector, told, {*this->peers.collector});
     } else {
-        append(&this->forCollectors, own);
-        append(&this->forMembers, own);
+        this->forCollectors.add(told);
+        this->forMembers.add(told);
     }
     this->send(BacklogStage::ToCollectors, std::exchange(this->forCollectors, {}),
                this->peers.collectors);
     this->send(BacklogStage::ToMembers, std::exchange(this->forMembers, {}), this->peers.members);
 }
 
-void BacklogExchange::send(BacklogStage stage, const std::vector<BacklogNote> &notes,
+void BacklogExchange::Pending::add(const Pending &more)
+{
+    this->notes.insert(this->notes.end(), more.notes.begin(), more.notes.end());
+    this->places.insert(this->places.end(), more.places.begin(), more.places.end());
+}
+
+void BacklogExchange::send(BacklogStage stage, const Pending &pending,
                            const std::vector<Endpoint> &receivers)
 {
-    for (std::size_t at = 0; at < notes.size(); at += kMostBacklogNotes) {
-        const std::size_t end = std::min(at + kMostBacklogNotes, notes.size());
-        BacklogMessage message{stage, {}};
-        message.notes.assign(notes.begin() + static_cast<std::ptrdiff_t>(at),
-                             notes.begin() + static_cast<std::ptrdiff_t>(end));
+    const std::size_t most = std::max(pending.notes.size(), pending.places.size());
+    for (std::size_t part = 0; part * kMostBacklogNotes < most; ++part) {
+        const BacklogMessage message{stage, partOf(pending.notes, part),
+                                     partOf(pending.places, part)};
         const std::string datagram = encodeBacklog(message);
         for (const Endpoint &receiver : receivers) {
             (void)this->socket.send(receiver, datagram); // The next refresh makes up for it.
--- a/kernel/src/relay/BacklogExchange.h
+++ b/kernel/src/relay/BacklogExchange.h
@@ -1,4 +1,5 @@
-// Tells the other instances of this one's unread prompts, and passes on what others tell.
+// Tells the other instances of this one's unread prompts and of where shared prompts have been
+// read, and passes on what others tell.
 //
 // On a small site every instance tells every other one. On a larger one each failure domain has a
 // collector, chosen alike by all of its instances: an instance tells its collector, which tells the
@@ -10,7 +11,7 @@
 
 #include "site/SiteView.h"
 
-#include <decision/PromptBacklog.h>
+#include <decision/UpstreamPicker.h>
 #include <runtime/DatagramSocket.h>
 #include <telemetry/Metrics.h>
 
@@ -40,7 +41,7 @@
 public:
     /// All of these must outlive the exchange.
     BacklogExchange(FiberRuntime &runtime, const std::string &self, const Endpoint &listen,
-                    PromptBacklog &backlog, Metrics &metrics);
+                    EngineBeliefs &beliefs, Metrics &metrics);
 
     /// Before the runtime runs.
     absl::Status start();
@@ -48,6 +49,8 @@
     void setDirectory(const std::vector<DirectoryEntry> &directory);
     /// This instance's backlog has changed.
     void onChanged();
+    /// An engine has read a shared prompt of this instance.
+    void onPromptRead(const PlaceNote &note);
     /// Tells again what others may have missed, forgets what is out of date. Call it now and then.
     void refresh();
 
@@ -55,20 +58,28 @@
     void onDatagram(std::string_view datagram);
     void flushSoon(Duration pause);
     void flush();
-    void send(BacklogStage stage, const std::vector<BacklogNote> &notes,
-              const std::vector<Endpoint> &peers);
+    /// What is to be told at one stage.
+    struct Pending
+    {
+        std::vector<BacklogNote> notes;
+        std::vector<PlaceNote> places;
+
+        void add(const Pending &more);
+    };
+    void send(BacklogStage stage, const Pending &pending, const std::vector<Endpoint> &receivers);
 
     FiberRuntime &runtime;
     const std::string self;
-    PromptBacklog &backlog;
+    EngineBeliefs &beliefs;
     DatagramSocket socket;
     Counter &sent;
     Counter &received;
     Counter &malformed;
     BacklogPeers peers;
-    std::vector<BacklogNote> forCollectors; ///< Heard of members, to be passed on.
-    std::vector<BacklogNote> forMembers;    ///< Heard of anybody else, to be passed on.
-    bool flushing = false;                  ///< A flush is about to run.
+    Pending own;           ///< Of this instance; its notes are taken from the backlog when sent.
+    Pending forCollectors; ///< Heard of members, to be passed on.
+    Pending forMembers;    ///< Heard of anybody else, to be passed on.
+    bool flushing = false; ///< A flush is about to run.
 };
 
 } // namespace basilnotch
--- a/kernel/src/relay/BacklogMessage.cpp
+++ b/kernel/src/relay/BacklogMessage.cpp
@@ -1,28 +1,31 @@
-// MessagePack: [version, stage, [[instance, upstream, number, work in ms], ...]].
+// MessagePack: [version, stage, [[instance, upstream, number, work in ms], ...],
+// [[prompt, upstream], ...]].
 #include "BacklogMessage.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace basilnotch {
 
 namespace {
 
 constexpr int kFormat = 1;
-constexpr std::size_t kMessageFields = 3;
+constexpr std::size_t kMessageFields = 4;
 constexpr std::size_t kNoteFields = 4;
+constexpr std::size_t kPlaceFields = 2;
 constexpr std::uint64_t kMostWorkMs = 600'000; // Beyond any prompt: a damaged message.
 
-bool isNote(const nlohmann::json &item)
+bool isNumbers(const nlohmann::json &item, std::size_t count)
 {
-    if (!item.is_array() || item.size() != kNoteFields) {
-        return false;
-    }
-    for (const nlohmann::json &field : item) {
-        if (!field.is_number_unsigned()) {
-            return false;
-        }
-    }
-    return item[3].get<std::uint64_t>() <= kMostWorkMs;
+    return item.is_array() && item.size() == count
+        && std::all_of(item.begin(), item.end(),
+                       [](const nlohmann::json &field) { return field.is_number_unsigned(); });
+}
+
+bool isList(const nlohmann::json &item)
+{
+    return item.is_array() && item.size() <= kMostBacklogNotes;
 }
 
 } // namespace
@@ -35,8 +38,12 @@
             nlohmann::json::array({note.instance, note.upstream, note.number,
                                    static_cast<std::uint64_t>(wholeMillis(note.work))}));
     }
-    const nlohmann::json envelope =
-        nlohmann::json::array({kFormat, static_cast<unsigned>(message.stage), std::move(notes)});
+    nlohmann::json places = nlohmann::json::array();
+    for (const PlaceNote &place : message.places) {
+        places.push_back(nlohmann::json::array({place.prompt, place.upstream}));
+    }
+    const nlohmann::json envelope = nlohmann::json::array(
+        {kFormat, static_cast<unsigned>(message.stage), std::move(notes), std::move(places)});
     std::string datagram;
     nlohmann::json::to_msgpack(envelope, datagram);
     return datagram;
@@ -50,7 +57,7 @@
     const bool ok = envelope.is_array() && envelope.size() == kMessageFields
         && envelope[0] == kFormat && envelope[1].is_number_unsigned()
         && envelope[1].get<unsigned>() <= static_cast<unsigned>(BacklogStage::ToMembers)
-        && envelope[2].is_array() && envelope[2].size() <= kMostBacklogNotes;
+        && isList(envelope[2]) && isList(envelope[3]);
     if (!ok) {
         return malformed;
     }
@@ -58,13 +65,19 @@
     message.stage = static_cast<BacklogStage>(envelope[1].get<unsigned>());
     message.notes.reserve(envelope[2].size());
     for (const nlohmann::json &item : envelope[2]) {
-        if (!isNote(item)) {
+        if (!isNumbers(item, kNoteFields) || item[3].get<std::uint64_t>() > kMostWorkMs) {
             return malformed;
         }
         message.notes.push_back({item[0].get<std::uint32_t>(), item[1].get<std::uint32_t>(),
                                  item[2].get<std::uint32_t>(),
                                  std::chrono::milliseconds(item[3].get<std::int64_t>())});
     }
+    for (const nlohmann::json &item : envelope[3]) {
+        if (!isNumbers(item, kPlaceFields)) {
+            return malformed;
+        }
+        message.places.push_back({item[0].get<std::uint32_t>(), item[1].get<std::uint32_t>()});
+    }
     return message;
 }
 
--- a/kernel/src/relay/BacklogMessage.h
+++ b/kernel/src/relay/BacklogMessage.h
@@ -1,8 +1,10 @@
-// The datagrams in which instances tell each other of their unread prompts.
+// The datagrams in which instances tell each other what they know of engines: unread prompts, and
+// where shared prompts have been read.
 #pragma once
 
 #include <base/Failure.h>
 #include <decision/PromptBacklog.h>
+#include <decision/PromptPlaces.h>
 
 #include <string>
 #include <string_view>
@@ -21,10 +23,11 @@
 {
     BacklogStage stage = BacklogStage::ToMembers;
     std::vector<BacklogNote> notes;
+    std::vector<PlaceNote> places;
 };
 
-/// Notes that one datagram holds at most.
-inline constexpr std::size_t kMostBacklogNotes = 60;
+/// Notes of each kind that one datagram holds at most: they fit one packet.
+inline constexpr std::size_t kMostBacklogNotes = 45;
 
 std::string encodeBacklog(const BacklogMessage &message);
 /// DataLoss for bytes that are no such message.
--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -244,6 +244,9 @@
     hop.timeLeft = this->timeLeft();
     hop.workspace = this->request.workspace;
     hop.model = attempt.model;
+    if (lease.fetchFrom()) {
+        hop.fetchFrom = lease.fetchFrom()->endpoint;
+    }
     if (this->stream.begun()) {
         hop.lastEventId = this->stream.lastEventId();
     }
@@ -336,6 +339,7 @@
         return AttemptEnd::MaybeRun;
     }
     if (asStream) {
+        attempt.lease.onFirstByte();
         this->learnPromptSpeed(attempt);
     }
     if (asStream && this->dropsForLargeModel(attempt, read)) {
@@ -375,7 +379,6 @@
                 this->firstEventTook = firstAt - this->request.arrivedAt;
             }
             pace = {firstAt, this->stream.events()};
-            attempt.lease.onFirstByte();
             if (this->usesLargestModel()) {
                 this->context.cascade.onLargeFirstToken(firstAt - attempt.sentAt, route.goal);
             }
--- a/kernel/src/relay/SiteTraffic.cpp
+++ b/kernel/src/relay/SiteTraffic.cpp
@@ -81,10 +81,12 @@
     Impl(const SiteSettings &settings, const SiteAdapter &adapter, const Clock &clock,
          EventLog &log, Metrics &metrics, SiteControl &control)
         : client(this->runtime, upstreamClientOptions())
-        , backlog({}, static_cast<std::uint32_t>(hash64(control.incarnation())), clock)
-        , exchange(this->runtime, settings.instance, settings.peers, this->backlog, metrics)
-        , desk(pickerOptions(settings), this->backlog, clock, hash64(settings.instance, 2),
-               [this] { this->exchange.onChanged(); })
+        , beliefs{{{}, static_cast<std::uint32_t>(hash64(control.incarnation())), clock},
+                  {{}, clock}}
+        , exchange(this->runtime, settings.instance, settings.peers, this->beliefs, metrics)
+        , desk(pickerOptions(settings), this->beliefs, clock, hash64(settings.instance, 2),
+               {[this] { this->exchange.onChanged(); },
+                [this](const PlaceNote &note) { this->exchange.onPromptRead(note); }})
         , poison({kCrashesToQuarantine, kCrashMemory}, clock)
         , cascade({}, clock)
         , context{control,           adapter.dialect(), clock,         log,
@@ -140,7 +142,7 @@
 
     FiberRuntime runtime;
     HttpClient client;
-    PromptBacklog backlog;
+    EngineBeliefs beliefs;
     BacklogExchange exchange;
     UpstreamDesk desk;
     PoisonGuard poison;
--- a/kernel/src/relay/UpstreamDesk.cpp
+++ b/kernel/src/relay/UpstreamDesk.cpp
@@ -7,14 +7,27 @@
 
 namespace basilnotch {
 
-UpstreamLease::UpstreamLease(UpstreamDesk &desk, Pick pick)
+namespace {
+
+/// Shared prompts of fewer tokens are not worth telling other instances of.
+constexpr int kLeastToldTokens = 1000;
+
+std::uint32_t promptOf(const UpstreamWant &want)
+{
+    return want.sharedTokens >= kLeastToldTokens ? static_cast<std::uint32_t>(want.affinityKey) : 0;
+}
+
+} // namespace
+
+UpstreamLease::UpstreamLease(UpstreamDesk &desk, Pick pick, std::uint32_t prompt)
     : desk(desk)
     , pick(std::move(pick))
+    , prompt(prompt)
 { }
 
 UpstreamLease::~UpstreamLease()
 {
-    this->onFirstByte();
+    this->endReading();
     this->desk.picker.onEnded(this->upstream(), this->result);
     this->desk.forecast(this->upstream().service).onPlaceFreed();
     this->desk.pump();
@@ -25,19 +38,30 @@
     this->desk.picker.onLoad(this->upstream(), sample);
 }
 
-void UpstreamLease::onFirstByte()
+void UpstreamLease::endReading()
 {
     if (!std::exchange(this->isRead, true)) {
         this->desk.picker.onRead(this->upstream(), this->pick.work);
-        this->desk.backlogChanged();
+        this->desk.listener.backlogChanged();
     }
 }
 
-UpstreamDesk::UpstreamDesk(PickerOptions options, PromptBacklog &backlog, const Clock &clock,
-                           std::uint64_t seed, std::function<void()> backlogChanged)
+void UpstreamLease::onFirstByte()
+{
+    if (!this->isRead && this->prompt != 0) {
+        const PlaceNote note{this->prompt, PromptBacklog::keyOf(this->upstream())};
+        this->desk.beliefs.places.onRead(note);
+        this->desk.listener.promptRead(note);
+    }
+    this->endReading();
+}
+
+UpstreamDesk::UpstreamDesk(PickerOptions options, EngineBeliefs &beliefs, const Clock &clock,
+                           std::uint64_t seed, DeskListener listener)
     : clock(clock)
-    , picker(std::move(options), backlog, clock, seed)
-    , backlogChanged(std::move(backlogChanged))
+    , beliefs(beliefs)
+    , picker(std::move(options), beliefs, clock, seed)
+    , listener(std::move(listener))
 { }
 
 void UpstreamDesk::setUpstreams(std::shared_ptr<const UpstreamList> next, int instances)
@@ -68,7 +92,7 @@
     Pick picked = this->picker.pick(query);
     if (picked.upstream) {
         this->picker.onSent(*picked.upstream, picked.work);
-        this->backlogChanged();
+        this->listener.backlogChanged();
     }
     return picked;
 }
@@ -91,8 +115,9 @@
 {
     Pick picked = this->pick(want);
     if (picked.upstream) {
-        return {
-            std::make_unique<UpstreamLease>(*this, std::move(picked)), AcquireProblem::None, {}};
+        return {std::make_unique<UpstreamLease>(*this, std::move(picked), promptOf(want)),
+                AcquireProblem::None,
+                {}};
     }
     if (picked.problem == PickProblem::NoUpstream) {
         return {nullptr, AcquireProblem::NoUpstream, {}};
@@ -112,7 +137,7 @@
     (void)waiter.ready.waitFor(longestWait);
     if (waiter.given.upstream) {
         cancelled.reset();
-        return {std::make_unique<UpstreamLease>(*this, std::move(waiter.given)),
+        return {std::make_unique<UpstreamLease>(*this, std::move(waiter.given), promptOf(want)),
                 AcquireProblem::None,
                 {}};
     }
--- a/kernel/src/relay/UpstreamDesk.h
+++ b/kernel/src/relay/UpstreamDesk.h
@@ -52,12 +52,15 @@
 class UpstreamLease
 {
 public:
-    UpstreamLease(UpstreamDesk &desk, Pick pick);
+    /// `prompt`: of the shared prompt, 0 without one.
+    UpstreamLease(UpstreamDesk &desk, Pick pick, std::uint32_t prompt);
     ~UpstreamLease();
     UpstreamLease(const UpstreamLease &) = delete;
     UpstreamLease &operator=(const UpstreamLease &) = delete;
 
     const UpstreamRecord &upstream() const { return *this->pick.upstream; }
+    /// Another engine that has the shared prompt; null when it is to be read.
+    const UpstreamRef &fetchFrom() const { return this->pick.fetchFrom; }
     /// Engine time until the prompt should be read there.
     Duration expectedRead() const { return this->pick.ahead + this->pick.work; }
     void onLoad(const LoadSample &sample);
@@ -67,8 +70,12 @@
     void setResult(AttemptResult result) { this->result = result; }
 
 private:
+    /// The prompt no longer waits to be read.
+    void endReading();
+
     UpstreamDesk &desk;
     const Pick pick;
+    const std::uint32_t prompt;
     bool isRead = false;
     std::optional<AttemptResult> result;
 };
@@ -87,14 +94,22 @@
     Duration comeBackAfter{}; ///< Set when it is too busy: when a place may be free.
 };
 
+/// What other instances need to hear of.
+struct DeskListener
+{
+    /// This instance has changed the backlog of an engine.
+    std::function<void()> backlogChanged;
+    /// An engine has read a shared prompt.
+    std::function<void(const PlaceNote &note)> promptRead;
+};
+
 /// Traffic thread only.
 class UpstreamDesk
 {
 public:
-    /// `backlog` must outlive the desk; `backlogChanged` is called when this instance has changed
-    /// it.
-    UpstreamDesk(PickerOptions options, PromptBacklog &backlog, const Clock &clock,
-                 std::uint64_t seed, std::function<void()> backlogChanged);
+    /// `beliefs` must outlive the desk.
+    UpstreamDesk(PickerOptions options, EngineBeliefs &beliefs, const Clock &clock,
+                 std::uint64_t seed, DeskListener listener);
 
     void setUpstreams(std::shared_ptr<const UpstreamList> list, int liveInstances);
     /// Blocks the calling fiber for at most `longestWait`; `cancelled` ends the wait early. Says at
@@ -119,8 +134,9 @@
     std::size_t ahead(const UpstreamWant &want) const;
 
     const Clock &clock;
+    EngineBeliefs &beliefs;
     UpstreamPicker picker;
-    const std::function<void()> backlogChanged;
+    const DeskListener listener;
     std::shared_ptr<const UpstreamList> list = std::make_shared<UpstreamList>();
     int liveInstances = 1;
     std::list<Waiter *> waiters;         ///< Most urgent first, then in order of arrival.
--- a/libs/decision/include/decision/AnswerCascade.h
+++ b/libs/decision/include/decision/AnswerCascade.h
@@ -42,7 +42,7 @@
     double calmPart = 0.3;
     /// Part of the time that callers allow which an answer may take after its first token before
     /// engine time gets dearer: what is under way is lost when an instance or an engine is.
-    double calmStreamPart = 0.25;
+    double calmStreamPart = 0.35;
     /// Part of the time left that the large model may be expected to need.
     double timePart = 0.6;
     double lowestPrice = 1e-6;  ///< Worth of a unit of work while engines are idle.
--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -5,6 +5,7 @@
 
 #include <base/Clock.h>
 #include <decision/PromptBacklog.h>
+#include <decision/PromptPlaces.h>
 #include <decision/UpstreamHealth.h>
 #include <upstreams/UpstreamList.h>
 
@@ -35,6 +36,11 @@
     Duration sampleAge = std::chrono::milliseconds(1500); ///< An older load sample says nothing.
     /// What reading 1,000 shared tokens again costs operators, as a delay that is as bad.
     Duration rereadPer1000 = std::chrono::milliseconds(30);
+    /// What moving 1,000 tokens of a cached prompt between engines costs them, in the same way.
+    Duration fetchPer1000 = std::chrono::milliseconds(20);
+    /// Time of such a move: links carry a prompt in some milliseconds.
+    Duration fetchTime = std::chrono::milliseconds(10);
+    int leastFetchedTokens = 500; ///< A shorter prompt is read as fast as it is moved.
     Duration perRunning = std::chrono::milliseconds(3); ///< Added delay for each running request.
     double nearBest = 0.1; ///< Scores within this share of the best count as equal.
     Duration nearBestSlack = std::chrono::milliseconds(2);
@@ -46,7 +52,7 @@
 {
     std::span<const UpstreamRef> candidates;
     std::span<const std::string> avoid; ///< Ids that have failed this request.
-    std::uint64_t affinityKey = 0;      ///< Of the shared prompt parts; 0: none.
+    std::uint64_t affinityKey = 0;      ///< Of the shared prompt parts and the model; 0: none.
     Duration ownWork{};    ///< Engine time for the prompt that no other request shares.
     Duration sharedWork{}; ///< Engine time for the prompt that may be cached.
     int sharedTokens = 0;  ///< Tokens of that.
@@ -64,16 +70,24 @@
 {
     UpstreamRef upstream; ///< Null when there is a problem.
     PickProblem problem = PickProblem::NoUpstream;
-    Duration work{};  ///< Engine time that its prompt takes there.
-    Duration ahead{}; ///< Engine time of the prompts that are read before it.
+    Duration work{};       ///< Engine time that its prompt takes there.
+    Duration ahead{};      ///< Engine time of the prompts that are read before it.
+    UpstreamRef fetchFrom; ///< Another engine that has the shared prompt; null to read it.
+};
+
+/// What instances know of engines beyond the engines' own words. One thread.
+struct EngineBeliefs
+{
+    PromptBacklog backlog;
+    PromptPlaces places;
 };
 
 /// One thread.
 class UpstreamPicker
 {
 public:
-    /// `backlog` must outlive the picker.
-    UpstreamPicker(PickerOptions options, PromptBacklog &backlog, const Clock &clock,
+    /// `beliefs` must outlive the picker.
+    UpstreamPicker(PickerOptions options, EngineBeliefs &beliefs, const Clock &clock,
                    std::uint64_t seed);
 
     Pick pick(const PickQuery &query);
@@ -112,24 +126,37 @@
         double ms = 0;
         Duration work{};
         Duration ahead{};
+        bool fetches = false; ///< Its shared prompt is to come from the holder.
         bool isHealthy = true;
         bool isFull = false;
     };
-    /// The upstream that is taken to hold the shared prompt of a request; null without one.
+    /// Where the shared prompt of a request is, or is to be read first.
+    struct PromptSources
+    {
+        std::span<const std::uint32_t> holders; ///< Keys of engines that have it.
+        const UpstreamRef *latest = nullptr;    ///< The latest of them that is a candidate.
+        const UpstreamRecord *home = nullptr;   ///< Reads it first, as all instances agree.
+    };
+    PromptSources sourcesOf(const PickQuery &query);
+    /// The candidate that all instances choose for a shared prompt; null without one.
     static const UpstreamRecord *home(const PickQuery &query);
-    Scored score(const UpstreamRef &upstream, const PickQuery &query, bool isHome);
+    Scored score(const UpstreamRef &upstream, const PickQuery &query, const PromptSources &sources);
+    /// Adds what the prompt of a request takes at an engine.
+    void scorePrompt(const State &state, const PickQuery &query, const PromptSources &sources,
+                     Scored *item) const;
     /// Fills `scored` with the candidates that have not failed the request.
     void scoreAll(const PickQuery &query);
     /// One of the best of `scored` at random; null when none has room.
     const Scored *pickNearBest(bool healthyOnly);
 
     const PickerOptions options;
-    PromptBacklog &backlog;
+    EngineBeliefs &beliefs;
     const Clock &clock;
     std::mt19937_64 random;
     std::map<std::string, State, std::less<>> states;
     std::vector<Scored> scored;
     std::vector<const Scored *> nearBest;
+    const UpstreamRef *fetchSource = nullptr; ///< Of the candidates scored last.
 };
 
 } // namespace basilnotch
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -1,5 +1,6 @@
-// Rendezvous hashing gives each shared prompt a home that all instances agree on; the delay of
-// reading it again elsewhere stands in the score, so a home that is behind is passed by.
+// A shared prompt that no engine is known to have is read at its home, which all instances agree on
+// by rendezvous hashing; one that is known is used where it is or fetched from there. The delays of
+// reading and fetching stand in the score, so an engine that is behind is passed by.
 #include <decision/UpstreamPicker.h>
 
 #include <base/Hash.h>
@@ -23,10 +24,10 @@
 
 } // namespace
 
-UpstreamPicker::UpstreamPicker(PickerOptions options, PromptBacklog &backlog, const Clock &clock,
+UpstreamPicker::UpstreamPicker(PickerOptions options, EngineBeliefs &beliefs, const Clock &clock,
                                std::uint64_t seed)
     : options(std::move(options))
-    , backlog(backlog)
+    , beliefs(beliefs)
     , clock(clock)
     , random(seed)
 { }
@@ -56,7 +57,7 @@
 }
 
 UpstreamPicker::Scored UpstreamPicker::score(const UpstreamRef &upstream, const PickQuery &query,
-                                             bool isHome)
+                                             const PromptSources &sources)
 {
     const State &state = this->state(*upstream);
     const double load = this->load(state, query.liveInstances);
@@ -64,12 +65,7 @@
     item.upstream = &upstream;
     item.ms = inMs(this->options.perRunning) * load;
     if (query.isEngine) {
-        item.work = query.ownWork + (isHome ? Duration::zero() : query.sharedWork);
-        item.ahead = this->backlog.unread(state.backlogKey);
-        item.ms += inMs(item.ahead + item.work);
-        constexpr double kThousand = 1000;
-        const double rereadThousands = isHome ? 0 : query.sharedTokens / kThousand;
-        item.ms += rereadThousands * inMs(this->options.rereadPer1000);
+        this->scorePrompt(state, query, sources, &item);
     }
     if (upstream->failureDomain != this->options.ownDomain) {
         item.ms += inMs(this->options.otherDomainPenalty);
@@ -81,13 +77,33 @@
     return item;
 }
 
+void UpstreamPicker::scorePrompt(const State &state, const PickQuery &query,
+                                 const PromptSources &sources, Scored *item) const
+{
+    constexpr double kThousand = 1000;
+    const double thousands = query.sharedTokens / kThousand;
+    const std::uint32_t key = state.backlogKey;
+    const auto &holders = sources.holders;
+    item->ahead = this->beliefs.backlog.unread(key);
+    item->work = query.ownWork;
+    if (std::find(holders.begin(), holders.end(), key) != holders.end()) {
+        // Nothing to read but the request's own part.
+    } else if (sources.latest && query.sharedTokens >= this->options.leastFetchedTokens) {
+        item->fetches = true;
+        item->work += this->options.fetchTime;
+        item->ms += thousands * inMs(this->options.fetchPer1000);
+    } else {
+        const bool isHome = item->upstream->get() == sources.home;
+        item->work += query.sharedWork;
+        item->ms += isHome ? 0 : thousands * inMs(this->options.rereadPer1000);
+    }
+    item->ms += inMs(item->ahead + item->work);
+}
+
 const UpstreamRecord *UpstreamPicker::home(const PickQuery &query)
 {
     const UpstreamRecord *home = nullptr;
     std::uint64_t heaviest = 0;
-    if (query.affinityKey == 0) {
-        return home;
-    }
     for (const UpstreamRef &candidate : query.candidates) {
         const std::uint64_t weight = hash64(candidate->id, query.affinityKey);
         if (!home || weight > heaviest) {
@@ -98,13 +114,36 @@
     return home;
 }
 
+UpstreamPicker::PromptSources UpstreamPicker::sourcesOf(const PickQuery &query)
+{
+    PromptSources sources;
+    if (query.affinityKey == 0) {
+        return sources;
+    }
+    sources.home = UpstreamPicker::home(query);
+    sources.holders = this->beliefs.places.holders(static_cast<std::uint32_t>(query.affinityKey));
+    std::size_t latest = 0;
+    for (const UpstreamRef &candidate : query.candidates) {
+        const State &state = this->state(*candidate);
+        const auto place =
+            std::find(sources.holders.begin(), sources.holders.end(), state.backlogKey);
+        const auto rank = static_cast<std::size_t>(place - sources.holders.begin()) + 1;
+        if (place != sources.holders.end() && rank > latest && !state.health.isPaused()) {
+            latest = rank;
+            sources.latest = &candidate;
+        }
+    }
+    return sources;
+}
+
 void UpstreamPicker::scoreAll(const PickQuery &query)
 {
     this->scored.clear();
-    const UpstreamRecord *home = UpstreamPicker::home(query);
+    const PromptSources sources = this->sourcesOf(query);
+    this->fetchSource = sources.latest;
     for (const UpstreamRef &candidate : query.candidates) {
         if (!contains(query.avoid, candidate->id)) {
-            this->scored.push_back(this->score(candidate, query, candidate.get() == home));
+            this->scored.push_back(this->score(candidate, query, sources));
         }
     }
 }
@@ -133,14 +172,17 @@
 {
     this->scoreAll(query);
     if (this->scored.empty()) {
-        return {nullptr, PickProblem::NoUpstream, {}, {}};
+        return {nullptr, PickProblem::NoUpstream, {}, {}, nullptr};
     }
     const bool anyHealthy = std::any_of(this->scored.begin(), this->scored.end(),
                                         [](const Scored &item) { return item.isHealthy; });
     // When all look sick it is likelier that this instance misjudges them.
     const Scored *picked = this->pickNearBest(anyHealthy);
-    return picked ? Pick{*picked->upstream, PickProblem::None, picked->work, picked->ahead}
-                  : Pick{nullptr, PickProblem::AllFull, {}, {}};
+    if (!picked) {
+        return {nullptr, PickProblem::AllFull, {}, {}, nullptr};
+    }
+    const UpstreamRef source = picked->fetches ? *this->fetchSource : nullptr;
+    return {*picked->upstream, PickProblem::None, picked->work, picked->ahead, source};
 }
 
 void UpstreamPicker::onSent(const UpstreamRecord &upstream, Duration work)
@@ -148,14 +190,14 @@
     State &state = this->state(upstream);
     ++state.inFlight;
     if (work > Duration::zero()) {
-        this->backlog.onSent(state.backlogKey, work);
+        this->beliefs.backlog.onSent(state.backlogKey, work);
     }
 }
 
 void UpstreamPicker::onRead(const UpstreamRecord &upstream, Duration work)
 {
     if (work > Duration::zero()) {
-        this->backlog.onRead(this->state(upstream).backlogKey, work);
+        this->beliefs.backlog.onRead(this->state(upstream).backlogKey, work);
     }
 }
 
--- a/libs/decision/tests/PickerTest.cpp
+++ b/libs/decision/tests/PickerTest.cpp
@@ -30,14 +30,14 @@
 struct PickerWorld
 {
     ManualClock clock;
-    PromptBacklog backlog;
+    EngineBeliefs beliefs;
     std::vector<UpstreamRef> upstreams;
     UpstreamPicker picker;
 
     PickerWorld(int count, int slots)
-        : backlog({}, 1, this->clock)
+        : beliefs{{{}, 1, this->clock}, {{}, this->clock}}
         , upstreams(makeUpstreams(count, slots))
-        , picker({}, this->backlog, this->clock, 1)
+        , picker({}, this->beliefs, this->clock, 1)
     { }
 
     PickQuery query() const
--- a/libs/decision/tests/PromptBacklogTest.cpp
+++ b/libs/decision/tests/PromptBacklogTest.cpp
@@ -122,13 +122,13 @@
             record.slots = 64;
             engines.push_back(std::make_shared<const UpstreamRecord>(record));
         }
-        std::vector<std::unique_ptr<PromptBacklog>> backlogs;
+        std::vector<std::unique_ptr<EngineBeliefs>> beliefs;
         std::vector<std::unique_ptr<UpstreamPicker>> pickers;
         for (std::uint32_t number = 0; number < kCount; ++number) {
-            backlogs.push_back(
-                std::make_unique<PromptBacklog>(PromptBacklogOptions(), number, clock));
+            beliefs.push_back(
+                std::make_unique<EngineBeliefs>(EngineBeliefs{{{}, number, clock}, {{}, clock}}));
             pickers.push_back(
-                std::make_unique<UpstreamPicker>(PickerOptions(), *backlogs.back(), clock, number));
+                std::make_unique<UpstreamPicker>(PickerOptions(), *beliefs.back(), clock, number));
         }
         struct Reading
         {
@@ -144,10 +144,10 @@
         std::lognormal_distribution<double> size(5.5, 0.9);
         std::vector<Duration> waits;
         const auto tellAll = [&] {
-            for (const auto &teller : backlogs) {
-                for (const BacklogNote &note : teller->takeNews()) {
-                    for (const auto &listener : backlogs) {
-                        listener->take(note);
+            for (const auto &teller : beliefs) {
+                for (const BacklogNote &note : teller->backlog.takeNews()) {
+                    for (const auto &listener : beliefs) {
+                        listener->backlog.take(note);
                     }
                 }
             }
