A roll-out gives a version nobody found bad no more than operators accept

Its small share was spread over nine new servers, each of them almost idle, so nothing showed; then the share grew to the whole at half of the time.

Ruled out: slow evidence. No caller saw a bad answer of that version at any share, so no test on answers finds it.

Change: the share goes to so few new upstreams that each runs what an old one runs (CanaryGroup), and it grows only in the last 7 of 100 of the time, so that the sum over the roll-out stays within the accepted exposure.

--- a/kernel/src/relay/RelayWant.cpp
+++ b/kernel/src/relay/RelayWant.cpp
@@ -24,7 +24,7 @@
     }
     const ActiveRollout &rollout = found->second;
     if (rollout.state.phase == RolloutPhase::Completed) {
-        return {rollout.state.toVersion, {}};
+        return {.only = rollout.state.toVersion};
     }
     const Duration elapsed = now - rollout.startedAt;
     const CallerHeaders &caller = request.caller;
@@ -32,8 +32,10 @@
     const double share = rolloutShare(rollout.state, elapsed, request.view->bounds.exposureShare);
     const bool stays = !caller.session.empty() && keepsSessions(rollout.state, elapsed);
     const bool onNew = !rollout.held && !stays && fallsOnNew(key, share);
-    return onNew ? VersionFilter{rollout.state.toVersion, {}}
-                 : VersionFilter{"", rollout.state.closedVersions()};
+    if (!onNew) {
+        return {.closed = rollout.state.closedVersions()};
+    }
+    return {.only = rollout.state.toVersion, .share = share, .order = rollout.state.order};
 }
 
 UpstreamWant wantFor(const RelayRequest &request, const std::string &model,
--- a/kernel/src/relay/UpstreamDesk.cpp
+++ b/kernel/src/relay/UpstreamDesk.cpp
@@ -2,6 +2,8 @@
 // slip in.
 #include "UpstreamDesk.h"
 
+#include <decision/CanaryGroup.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -74,14 +76,36 @@
 
 Pick UpstreamDesk::pick(const UpstreamWant &want)
 {
+    const std::vector<UpstreamRef> &ready = this->list->ready(want.service);
     this->candidates.clear();
-    for (const UpstreamRef &upstream : this->list->ready(want.service)) {
+    for (const UpstreamRef &upstream : ready) {
         if (want.versions.allows(*upstream)) {
             this->candidates.push_back(upstream);
         }
     }
+    Pick picked;
+    if (want.versions.share < 1) {
+        const std::size_t oldOnes = ready.size() - this->candidates.size();
+        this->canaries = this->candidates;
+        keepCanaries(&this->canaries,
+                     canaryCount(this->candidates.size(), oldOnes, want.versions.share),
+                     want.versions.order);
+        picked = this->pickFrom(this->canaries, want);
+    }
+    if (!picked.upstream) {
+        picked = this->pickFrom(this->candidates, want);
+    }
+    if (picked.upstream) {
+        this->picker.onSent(*picked.upstream, picked.work);
+        this->listener.backlogChanged();
+    }
+    return picked;
+}
+
+Pick UpstreamDesk::pickFrom(std::span<const UpstreamRef> upstreams, const UpstreamWant &want)
+{
     PickQuery query;
-    query.candidates = this->candidates;
+    query.candidates = upstreams;
     query.avoid = want.avoid;
     query.affinityKey = want.affinityKey;
     query.ownWork = want.ownWork;
@@ -89,12 +113,7 @@
     query.sharedTokens = want.sharedTokens;
     query.liveInstances = this->liveInstances;
     query.isEngine = want.isEngine;
-    Pick picked = this->picker.pick(query);
-    if (picked.upstream) {
-        this->picker.onSent(*picked.upstream, picked.work);
-        this->listener.backlogChanged();
-    }
-    return picked;
+    return this->picker.pick(query);
 }
 
 QueueForecast &UpstreamDesk::forecast(const std::string &service)
--- a/kernel/src/relay/UpstreamDesk.h
+++ b/kernel/src/relay/UpstreamDesk.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,9 @@
 {
     std::string only;                ///< Empty: all versions that are not closed.
     std::vector<std::string> closed; ///< Versions that get nothing.
+    /// Share of the work that `only` gets while the old version is in use; 1 once it is not.
+    double share = 1;
+    std::uint64_t order = 0; ///< Of the roll-out; chooses the upstreams that serve the share.
 
     bool allows(const UpstreamRecord &upstream) const
     {
@@ -128,7 +132,9 @@
         Pick given;
     };
 
+    /// Books the place that it finds.
     Pick pick(const UpstreamWant &want);
+    Pick pickFrom(std::span<const UpstreamRef> upstreams, const UpstreamWant &want);
     QueueForecast &forecast(const std::string &service);
     /// Waiting requests that would go before `want`.
     std::size_t ahead(const UpstreamWant &want) const;
@@ -141,6 +147,7 @@
     int liveInstances = 1;
     std::list<Waiter *> waiters;         ///< Most urgent first, then in order of arrival.
     std::vector<UpstreamRef> candidates; ///< Scratch of pick().
+    std::vector<UpstreamRef> canaries;   ///< Scratch of pick().
     std::map<std::string, QueueForecast> forecasts; ///< By service.
 };
 
--- a/libs/decision/include/decision/RolloutSchedule.h
+++ b/libs/decision/include/decision/RolloutSchedule.h
@@ -36,15 +36,23 @@
 
 struct RolloutScheduleOptions
 {
-    /// Until half of the time has passed, sessions must stay where they are and the new version
-    /// gets only what an operator accepts to lose to a bad one.
-    double canaryUntil = 0.5;
-    double rampUntil = 0.62;    ///< Shares grow to the whole between the canary and this point.
-    double completeFrom = 0.88; ///< Work on the old version has had this long to finish.
-    double rampStart = 0.4;     ///< Share at the start of the ramp: enough load to show weakness.
-    double canaryPart = 0.6;    ///< Of the exposure that operators allow, taken by the canary.
+    /// Sessions stay where they are until half of the time has passed, as operators ask.
+    double sessionsStayUntil = 0.5;
+    /// A version that fails only under load shows nothing while its share is small, so the share
+    /// grows as late as leaves time to complete: what a roll-out loses to a bad version that nobody
+    /// noticed stays within what operators accept.
+    double rampFrom = 0.93;
+    double rampUntil = 0.95;
+    /// Leaves a slow store half a second of a short roll-out for the commit.
+    double completeFrom = 0.965;
+    double exposurePart = 0.9; ///< Of the exposure that operators accept, which is planned for.
+    /// Of that exposure, which the canary takes at least: with less nothing would be learned.
+    double leastCanaryPart = 0.2;
 };
 
+/// Share of the canary: what is left of the accepted exposure by the time after the ramp.
+double canaryShare(double exposureShare, const RolloutScheduleOptions &options = {});
+
 /// Share of new work for the new version at `elapsed` since the start, between 0 and 1. Never falls
 /// while the phase is InProgress.
 double rolloutShare(const RolloutState &state, Duration elapsed, double exposureShare,
--- a/libs/decision/src/RolloutSchedule.cpp
+++ b/libs/decision/src/RolloutSchedule.cpp
@@ -25,6 +25,14 @@
     return closed;
 }
 
+double canaryShare(double exposureShare, const RolloutScheduleOptions &options)
+{
+    const double ramp = (options.rampUntil - options.rampFrom) / 2;
+    const double late = ramp + 1 - options.rampUntil;
+    const double left = options.exposurePart * exposureShare - late;
+    return std::max(options.leastCanaryPart * exposureShare, left / options.rampFrom);
+}
+
 double rolloutShare(const RolloutState &state, Duration elapsed, double exposureShare,
                     const RolloutScheduleOptions &options)
 {
@@ -32,12 +40,13 @@
         return state.phase == RolloutPhase::Completed ? 1 : 0;
     }
     const double part = passed(state, elapsed);
-    if (part < options.canaryUntil) {
-        return options.canaryPart * exposureShare;
+    const double canary = canaryShare(exposureShare, options);
+    if (part < options.rampFrom) {
+        return canary;
     }
-    const double width = std::max(options.rampUntil - options.canaryUntil, 1e-6);
-    const double along = std::min(1.0, (part - options.canaryUntil) / width);
-    return options.rampStart + (1 - options.rampStart) * along;
+    const double width = std::max(options.rampUntil - options.rampFrom, 1e-6);
+    const double along = std::min(1.0, (part - options.rampFrom) / width);
+    return canary + (1 - canary) * along;
 }
 
 bool mayComplete(const RolloutState &state, Duration elapsed, const RolloutScheduleOptions &options)
@@ -49,7 +58,8 @@
 bool keepsSessions(const RolloutState &state, Duration elapsed,
                    const RolloutScheduleOptions &options)
 {
-    return state.phase == RolloutPhase::InProgress && passed(state, elapsed) < options.canaryUntil;
+    return state.phase == RolloutPhase::InProgress
+        && passed(state, elapsed) < options.sessionsStayUntil;
 }
 
 bool fallsOnNew(std::string_view key, double share)
--- /dev/null
+++ b/libs/decision/tests/CanaryGroupTest.cpp
@@ -0,0 +1,69 @@
+// Which upstreams of a new version serve its share, and how busy that makes them.
+#include <decision/CanaryGroup.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace basilnotch;
+
+namespace {
+
+std::vector<UpstreamRef> upstreams(int count)
+{
+    std::vector<UpstreamRef> made;
+    for (int number = 0; number < count; ++number) {
+        auto upstream = std::make_shared<UpstreamRecord>();
+        upstream->id = "new" + std::to_string(number);
+        made.push_back(std::move(upstream));
+    }
+    return made;
+}
+
+std::set<std::string> kept(int of, std::size_t count, std::uint64_t seed)
+{
+    std::vector<UpstreamRef> list = upstreams(of);
+    keepCanaries(&list, count, seed);
+    std::set<std::string> ids;
+    for (const UpstreamRef &upstream : list) {
+        ids.insert(upstream->id);
+    }
+    return ids;
+}
+
+} // namespace
+
+TEST_CASE("a version that fails only under load: each canary is as busy as an old upstream")
+{
+    for (const std::size_t oldOnes : {9, 80, 600}) {
+        for (const double share : {0.04, 0.1, 0.4, 0.9}) {
+            const std::size_t count = canaryCount(oldOnes, oldOnes, share);
+            const double ofCanary = share / static_cast<double>(count);
+            const double ofOld = (1 - share) / static_cast<double>(oldOnes);
+            const bool oneIsEnough = share * static_cast<double>(oldOnes) <= 1;
+            CHECK((oneIsEnough ? count == 1 : ofCanary >= ofOld));
+            CHECK(ofCanary <= 2 / static_cast<double>(oldOnes) + 1e-9);
+        }
+    }
+}
+
+TEST_CASE("there are never more canaries than new upstreams, and one if there is any")
+{
+    CHECK(canaryCount(0, 9, 0.5) == 0);
+    CHECK(canaryCount(3, 80, 0.5) == 3);
+    CHECK(canaryCount(80, 0, 0.01) == 1);
+}
+
+TEST_CASE("a growing share adds canaries and takes none away, alike on all instances")
+{
+    std::set<std::string> before;
+    for (std::size_t count = 1; count <= 40; ++count) {
+        const std::set<std::string> now = kept(40, count, 77);
+        CHECK(now.size() == count);
+        CHECK(std::includes(now.begin(), now.end(), before.begin(), before.end()));
+        before = now;
+    }
+    CHECK(kept(40, 5, 77) == kept(40, 5, 77));
+    CHECK(kept(40, 5, 77) != kept(40, 5, 78));
+}
