Counts of a roll-out go straight to three collectors, a hold to every instance

Cause: each instance told its counts to all others by gossip (instances x routes x 2 rumors, rounds of 250 ms, messages of 1.2 KB), beside the members and records that a restarting fleet renews; with 84 instances the sums were complete nowhere for seconds.

Change: an instance reports its totals to three collectors by rendezvous hashing, at once when the new version failed a request, else each second (rarer beyond 100 instances); a new collector gets the sums of the others; a finding goes from the collector to all instances directly, and by gossip to those that missed it. An instance whose answers of the new version no collector has taken for 2 s gives it nothing more. Judging is O(1) for each report and takes place at the collectors only. All instances wrote the hold into the store at once; now ranks spread the tries.

Tests: VersionTallyTest plays 9, 95 and 380 instances on the paused clock, half of them restarting in turn, a tenth of the messages lost: held within 2 s of the 50th bad answer, 10 seeds each; reports to a collector stay below 200 a second at 95, 380 and 1,000 instances.

--- a/kernel/src/control/PeerDesk.h
+++ b/kernel/src/control/PeerDesk.h
@@ -22,6 +22,7 @@
     ReleaseReceipts = 'x', ///< They are in the table up to this batch.
     FetchRules = 'r',      ///< Send the rules file in force.
     FetchRecord = 'o',     ///< Send a record of the platform's store.
+    RolloutCounts = 'v',   ///< Counts for a collector of a roll-out, or word that it is held.
 };
 
 /// Control thread only.
--- a/kernel/src/site/RolloutDesk.cpp
+++ b/kernel/src/site/RolloutDesk.cpp
@@ -1,87 +1,33 @@
-// Counts travel as gossip, one rumor for each instance, service and route; a hold travels at once.
+// Any instance that knows of a hold may write it down; ranks spread the tries.
 #include "RolloutDesk.h"
 
+#include "RolloutRecord.h"
+
 #include <base/Hash.h>
 #include <runtime/FiberRuntime.h>
 
 #include <absl/strings/match.h>
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
-#include <boost/json.hpp>
-
 #include <algorithm>
 
 namespace basilnotch {
 
 namespace {
 
-namespace json = boost::json;
-
 constexpr char kRecordPrefix[] = "rollout/";
 constexpr char kSeparator = '\x1f'; // In the names of rumors.
 constexpr char kNewSide[] = "new";  // Of a roll-out, in the names of rumors.
 constexpr char kOldSide[] = "old";
 /// Between the tries of two instances: longer than a commit, so that mostly the first one succeeds.
 constexpr Duration kRankStep = milliseconds(150);
-constexpr int kMostRanks = 4; // Later ranks would only add delay when the first ones are down.
+/// Later ranks all wait as long as this one: a hold is written down within two seconds even when
+/// the first dozen instances are down.
+constexpr int kMostRanks = 12;
 /// New upstreams that are ready, as a part of the old ones, before all work may move to them.
 constexpr double kEnoughNew = 0.5;
 
-std::string printState(const RolloutState &state)
-{
-    const auto nanos = [](Duration value) { return static_cast<std::int64_t>(value.count()); };
-    json::array abandoned;
-    for (const std::string &version : state.abandoned) {
-        abandoned.emplace_back(version);
-    }
-    return json::serialize(json::object{{"abandoned", std::move(abandoned)},
-                                        {"service", state.service},
-                                        {"to", state.toVersion},
-                                        {"order", state.order},
-                                        {"phase", static_cast<int>(state.phase)},
-                                        {"startedNs", nanos(state.startedAt)},
-                                        {"deadlineNs", nanos(state.deadline)}});
-}
-
-std::optional<RolloutState> readState(const std::string &text)
-{
-    json::error_code error;
-    const json::value document = json::parse(text, error);
-    if (error || !document.is_object()) {
-        return std::nullopt;
-    }
-    const json::object &object = document.as_object();
-    const auto number = [&](const char *name) -> std::int64_t {
-        const json::value *value = object.if_contains(name);
-        return value && value->is_number() ? value->to_number<std::int64_t>() : -1;
-    };
-    const json::value *service = object.if_contains("service");
-    const json::value *version = object.if_contains("to");
-    const std::int64_t phase = number("phase");
-    if (!service || !service->is_string() || !version || !version->is_string() || phase < 0
-        || phase > static_cast<int>(RolloutPhase::Reverted)) {
-        return std::nullopt;
-    }
-    RolloutState state;
-    state.service = std::string(service->as_string());
-    state.toVersion = std::string(version->as_string());
-    state.order = static_cast<std::uint64_t>(number("order"));
-    state.phase = static_cast<RolloutPhase>(phase);
-    state.startedAt = Duration(number("startedNs"));
-    state.deadline = Duration(number("deadlineNs"));
-    const json::value *abandoned = object.if_contains("abandoned");
-    if (abandoned && abandoned->is_array()) {
-        for (const json::value &item : abandoned->as_array()) {
-            if (item.is_string()) {
-                state.abandoned.emplace_back(item.as_string());
-            }
-        }
-    }
-    return state;
-}
-
 /// What stays closed when an order to `next` replaces the roll-out before it, if there was one.
 std::vector<std::string> closedBefore(const RolloutState &before, const std::string &next)
 {
@@ -93,6 +39,16 @@
     return closed;
 }
 
+bool hasEnoughNew(const std::vector<UpstreamRef> &ready, const std::string &version)
+{
+    const auto newOnes =
+        std::count_if(ready.begin(), ready.end(), [&](const UpstreamRef &upstream) {
+            return upstream->softwareVersion == version;
+        });
+    const auto oldOnes = static_cast<std::ptrdiff_t>(ready.size()) - newOnes;
+    return newOnes > 0 && static_cast<double>(newOnes) >= kEnoughNew * static_cast<double>(oldOnes);
+}
+
 std::string joinName(std::initializer_list<std::string> parts)
 {
     return absl::StrJoin(parts, std::string(1, kSeparator));
@@ -101,13 +57,19 @@
 } // namespace
 
 RolloutDesk::RolloutDesk(FiberRuntime &runtime, RecordStore &store, const RecordCodec &codec,
-                         Gossip &gossip, const Clock &clock, EventLog &log)
+                         Gossip &gossip, PeerDesk &peers, const Clock &clock, EventLog &log)
     : runtime(runtime)
     , store(store)
     , codec(codec)
     , gossip(gossip)
     , clock(clock)
     , log(log)
+    , counts(runtime, peers, gossip, clock, log,
+             {[this](const std::string &service, const VersionFinding &finding) {
+                  this->onFinding(service, finding);
+              },
+              [this](const HeldRollout &held) { this->onHeld(held); },
+              [this] { return this->heldRollouts(); }})
 { }
 
 bool RolloutDesk::isCurrent(const Known &known) const
@@ -123,14 +85,12 @@
     }
     known.order = order;
     known.orderVersion = version;
-    std::erase_if(this->counts,
-                  [&](const auto &item) { return std::get<0>(item.first) == order.service; });
     known.orderedAt = this->clock.now();
     ++this->changes;
     if (!this->isCurrent(known)) {
         known.held = false;
-        known.evidence.clear();
         known.crashes = CrashEvidence();
+        this->counts.end(order.service);
     }
     this->log.write(LogKind::State, "roll-out ordered",
                     {{"service", order.service},
@@ -156,6 +116,11 @@
     known.state = *state;
     known.stateVersion = record.version;
     ++this->changes;
+    if (this->isCurrent(known) && state->phase == RolloutPhase::InProgress) {
+        this->counts.begin(state->service, state->order);
+    } else {
+        this->counts.end(state->service);
+    }
     this->log.write(LogKind::State, "roll-out state",
                     {{"service", state->service},
                      {"to", state->toVersion},
@@ -171,19 +136,18 @@
         return;
     }
     const std::uint64_t order = known->second.state.order;
-    const std::string side =
-        report.softwareVersion == known->second.state.toVersion ? kNewSide : kOldSide;
+    const bool isNew = report.softwareVersion == known->second.state.toVersion;
     if (report.outcome == AnswerOutcome::Cut) {
         // Named after the upstream, so that it counts once whoever saw it break off.
         this->gossip.tell({{RumorKind::CrashedUpstream,
-                            joinName({report.service, absl::StrCat(order), side, report.upstream})},
+                            joinName({report.service, absl::StrCat(order),
+                                      isNew ? kNewSide : kOldSide, report.upstream})},
                            1,
                            ""});
         return;
     }
-    AnswerCounts &counts = this->counts[{report.service, order, report.route, side}];
-    counts.add({1, report.outcome == AnswerOutcome::Bad ? 1 : 0});
-    this->countsChanged = true;
+    this->counts.onAnswer(report.service, report.route, isNew,
+                          report.outcome == AnswerOutcome::Bad);
 }
 
 bool RolloutDesk::isUnderWay(const Rumor &rumor) const
@@ -197,27 +161,6 @@
         && parts[1] == absl::StrCat(known->second.state.order);
 }
 
-void RolloutDesk::tellCounts()
-{
-    if (!std::exchange(this->countsChanged, false)) {
-        return;
-    }
-    for (const auto &[key, counts] : this->counts) {
-        const auto &[service, order, route, side] = key;
-        this->gossip.tell({{RumorKind::Verdict,
-                            joinName({service, absl::StrCat(order), route, side,
-                                      this->gossip.self().incarnation})},
-                           static_cast<std::uint64_t>(counts.answers),
-                           absl::StrCat(counts.answers, ",", counts.bad)});
-    }
-}
-
-void RolloutDesk::judge(Known &known, const UpstreamList &upstreams)
-{
-    this->judgeAnswers(known);
-    this->judgeCrashes(known, upstreams);
-}
-
 void RolloutDesk::judgeCrashes(Known &known, const UpstreamList &upstreams)
 {
     CrashCounts oldVersion;
@@ -240,13 +183,21 @@
     }
 }
 
+void RolloutDesk::onFinding(const std::string &service, const VersionFinding &finding)
+{
+    Known &known = this->byService[service];
+    if (known.held || known.state.phase != RolloutPhase::InProgress) {
+        return;
+    }
+    const std::string where = finding.route.empty()
+        ? "bad answers on all routes"
+        : absl::StrCat("bad answers on route ", finding.route);
+    this->hold(known, where, finding.oldVersion, finding.newVersion);
+}
+
 void RolloutDesk::hold(Known &known, std::string_view reason, const AnswerCounts &oldVersion,
                        const AnswerCounts &newVersion)
 {
-    known.held = true;
-    ++this->changes;
-    this->gossip.tell(
-        {{RumorKind::Hold, known.state.service}, known.state.order, std::string(reason)});
     this->log.write(LogKind::State, "roll-out held",
                     {{"service", known.state.service},
                      {"to", known.state.toVersion},
@@ -255,50 +206,55 @@
                      {"newBad", newVersion.bad},
                      {"oldCounted", oldVersion.answers},
                      {"oldBad", oldVersion.bad}});
+    this->setHeld(known, reason);
+    this->counts.tellHeld({known.state.service, known.state.order});
 }
 
-void RolloutDesk::judgeAnswers(Known &known)
+void RolloutDesk::setHeld(Known &known, std::string_view reason)
 {
-    struct Sides
-    {
-        AnswerCounts oldVersion;
-        AnswerCounts newVersion;
-    };
-    std::map<std::string, Sides> byRoute;
-    this->gossip.store().forEach(RumorKind::Verdict, [&](const Rumor &rumor) {
-        const std::vector<std::string> parts = absl::StrSplit(rumor.id.name, kSeparator);
-        const std::vector<std::string> numbers = absl::StrSplit(rumor.payload, ',');
-        constexpr std::size_t kParts = 5;
-        AnswerCounts counts;
-        if (parts.size() != kParts || parts[0] != known.state.service
-            || parts[1] != absl::StrCat(known.state.order) || numbers.size() != 2
-            || !absl::SimpleAtoi(numbers[0], &counts.answers)
-            || !absl::SimpleAtoi(numbers[1], &counts.bad)) {
-            return;
-        }
-        for (const std::string &route : {parts[2], std::string()}) {
-            Sides &sides = byRoute[route];
-            (parts[3] == kNewSide ? sides.newVersion : sides.oldVersion).add(counts);
-        }
-    });
-    for (const auto &[route, sides] : byRoute) {
-        if (known.held || !known.evidence[route].update(sides.oldVersion, sides.newVersion)) {
-            continue;
+    known.held = true;
+    known.heldAt = this->clock.now();
+    ++this->changes;
+    // For instances that are not there now or missed the message.
+    this->gossip.tell(
+        {{RumorKind::Hold, known.state.service}, known.state.order, std::string(reason)});
+}
+
+std::vector<HeldRollout> RolloutDesk::heldRollouts() const
+{
+    std::vector<HeldRollout> held;
+    for (const auto &[service, known] : this->byService) {
+        if (this->isCurrent(known) && (known.held || known.state.phase == RolloutPhase::Reverted)) {
+            held.push_back({service, known.state.order});
         }
-        const std::string where = route.empty() ? "bad answers on all routes"
-                                                : absl::StrCat("bad answers on route ", route);
-        this->hold(known, where, sides.oldVersion, sides.newVersion);
     }
+    return held;
 }
 
-void RolloutDesk::takeHolds(Known &known)
+void RolloutDesk::onHeld(const HeldRollout &held)
+{
+    const auto found = this->byService.find(held.service);
+    if (found == this->byService.end()) {
+        return;
+    }
+    Known &known = found->second;
+    const bool isUnderWay = this->isCurrent(known) && known.state.order == held.order
+        && known.state.phase == RolloutPhase::InProgress;
+    if (!isUnderWay || known.held) {
+        return;
+    }
+    this->log.write(LogKind::State, "roll-out held by a peer",
+                    {{"service", held.service},
+                     {"to", known.state.toVersion},
+                     {"order", static_cast<std::int64_t>(held.order)}});
+    this->setHeld(known, "held by a peer");
+}
+
+void RolloutDesk::takeHolds(const Known &known)
 {
     const Rumor *hold = this->gossip.store().find({RumorKind::Hold, known.state.service});
-    if (hold && hold->version == known.state.order && !known.held) {
-        known.held = true;
-        ++this->changes;
-        this->log.write(LogKind::State, "roll-out held by a peer",
-                        {{"service", known.state.service}, {"to", known.state.toVersion}});
+    if (hold) {
+        this->onHeld({known.state.service, hold->version});
     }
 }
 
@@ -316,7 +272,9 @@
 
 void RolloutDesk::tick(std::optional<Duration> storeTime, const UpstreamList &upstreams)
 {
-    this->tellCounts();
+    if (this->counts.tick()) {
+        ++this->changes;
+    }
     for (auto &[service, known] : this->byService) {
         if (!storeTime || known.moving) {
             continue;
@@ -330,21 +288,17 @@
         if (known.state.phase != RolloutPhase::InProgress) {
             continue;
         }
-        this->judge(known, upstreams);
+        this->judgeCrashes(known, upstreams);
         this->takeHolds(known);
-        const Duration elapsed = *storeTime - known.state.startedAt - this->rankDelay(service);
+        const Duration delay = this->rankDelay(service);
+        const Duration elapsed = *storeTime - known.state.startedAt - delay;
         if (known.held) {
-            this->move(known, RolloutPhase::Reverted);
-        } else if (mayComplete(known.state, elapsed)) {
-            std::size_t newOnes = 0;
-            const auto &ready = upstreams.ready(service);
-            for (const UpstreamRef &upstream : ready) {
-                newOnes += upstream->softwareVersion == known.state.toVersion ? 1 : 0;
-            }
-            const double oldOnes = static_cast<double>(ready.size() - newOnes);
-            if (newOnes > 0 && static_cast<double>(newOnes) >= kEnoughNew * oldOnes) {
-                this->move(known, RolloutPhase::Completed);
+            if (this->clock.now() - known.heldAt >= delay) {
+                this->move(known, RolloutPhase::Reverted);
             }
+        } else if (mayComplete(known.state, elapsed) && !this->counts.isUnheard(service)
+                   && hasEnoughNew(upstreams.ready(service), known.state.toVersion)) {
+            this->move(known, RolloutPhase::Completed);
         }
     }
 }
@@ -404,7 +358,7 @@
             const Duration elapsed =
                 storeTime ? *storeTime - known.state.startedAt : Duration::zero();
             rollout.startedAt = this->clock.now() - elapsed;
-            rollout.held = known.held || !storeTime;
+            rollout.held = known.held || !storeTime || this->counts.isUnheard(service);
         } else {
             // Ordered, not begun: the new version gets nothing yet.
             rollout.state.service = service;
--- a/kernel/src/site/RolloutDesk.h
+++ b/kernel/src/site/RolloutDesk.h
@@ -4,10 +4,10 @@
 #pragma once
 
 #include "AnswerReport.h"
+#include "RolloutCounts.h"
 #include "SiteView.h"
 
 #include <decision/CrashEvidence.h>
-#include <decision/VersionEvidence.h>
 #include <kernel/Site.h>
 #include <membership/Gossip.h>
 #include <replica/Replica.h>
@@ -16,7 +16,8 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <tuple>
+#include <string_view>
+#include <vector>
 
 namespace basilnotch {
 
@@ -30,7 +31,7 @@
 {
 public:
     RolloutDesk(FiberRuntime &runtime, RecordStore &store, const RecordCodec &codec, Gossip &gossip,
-                const Clock &clock, EventLog &log);
+                PeerDesk &peers, const Clock &clock, EventLog &log);
 
     void onOrder(const RolloutOrder &order, RecordVersion version);
     /// A record of our own table; others than those of roll-outs are skipped.
@@ -40,8 +41,8 @@
     void tick(std::optional<Duration> storeTime, const UpstreamList &upstreams);
     std::map<std::string, ActiveRollout, std::less<>>
     rollouts(std::optional<Duration> storeTime) const;
-    /// True for a rumor of counts that still decides something.
-    bool isUnderWay(const Rumor &counts) const;
+    /// True for a rumor of a crashed upstream that still decides something.
+    bool isUnderWay(const Rumor &crashed) const;
     /// Grows whenever rollouts() would say something else.
     std::uint64_t revision() const { return this->changes; }
 
@@ -54,26 +55,25 @@
         RecordVersion stateVersion = 0;
         TimePoint orderedAt{}; ///< When the order was first seen here.
         bool held = false;
-        bool moving = false;                             ///< A commit is under way.
-        std::map<std::string, VersionEvidence> evidence; ///< By route; "" for all together.
+        TimePoint heldAt{};  ///< When this instance heard of it.
+        bool moving = false; ///< A commit is under way.
         CrashEvidence crashes;
     };
-    /// Service, order, route, version of the software.
-    using CountKey = std::tuple<std::string, std::uint64_t, std::string, std::string>;
 
     bool isCurrent(const Known &known) const;
     Duration rankDelay(const std::string &service) const;
-    void judge(Known &known, const UpstreamList &upstreams);
-    void judgeAnswers(Known &known);
     void judgeCrashes(Known &known, const UpstreamList &upstreams);
     /// Gives the new version nothing more, here and at all peers.
     void hold(Known &known, std::string_view reason, const AnswerCounts &oldVersion,
               const AnswerCounts &newVersion);
-    void takeHolds(Known &known);
+    void setHeld(Known &known, std::string_view reason);
+    void onFinding(const std::string &service, const VersionFinding &finding);
+    void onHeld(const HeldRollout &held);
+    std::vector<HeldRollout> heldRollouts() const;
+    void takeHolds(const Known &known);
     void begin(Known &known, Duration storeTime);
     void move(Known &known, RolloutPhase phase);
     void commit(Known &known, RolloutState next);
-    void tellCounts();
 
     FiberRuntime &runtime;
     RecordStore &store;
@@ -82,8 +82,7 @@
     const Clock &clock;
     EventLog &log;
     std::map<std::string, Known> byService;
-    std::map<CountKey, AnswerCounts> counts; ///< Of this instance.
-    bool countsChanged = false;
+    RolloutCounts counts;
     std::uint64_t changes = 0;
 };
 
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -86,7 +86,7 @@
     , peers(this->runtime, this->peerSettings, this->gossip, metrics)
     , relay(this->runtime, this->gossip, this->peers, this->replica,
             [this](const Record &record) { return this->takeRecord(record, "peer"); })
-    , rollouts(this->runtime, *this->store, adapter.codec(), this->gossip, clock, log)
+    , rollouts(this->runtime, *this->store, adapter.codec(), this->gossip, this->peers, clock, log)
     , feed(
           this->runtime, *this->store, this->tables, {},
           {[this](const std::string &table, const RecordPage &page) { this->onTable(table, page); },
@@ -315,10 +315,9 @@
     this->gossip.store().forget(RumorKind::Crash, [&](const Rumor &rumor) {
         return !this->knownCrashes.contains(rumor.id.name);
     });
-    for (const RumorKind ofRollouts : {RumorKind::Verdict, RumorKind::CrashedUpstream}) {
-        this->gossip.store().forget(
-            ofRollouts, [&](const Rumor &rumor) { return !this->rollouts.isUnderWay(rumor); });
-    }
+    this->gossip.store().forget(RumorKind::CrashedUpstream, [&](const Rumor &rumor) {
+        return !this->rollouts.isUnderWay(rumor);
+    });
 }
 
 void SiteControl::tick()
--- a/libs/base/include/base/Hash.h
+++ b/libs/base/include/base/Hash.h
@@ -5,6 +5,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace basilnotch {
 
@@ -30,4 +31,9 @@
 /// Rendezvous hashing: index of the name that owns `key`. Undefined for an empty list.
 std::size_t rendezvousOwner(std::string_view key, std::span<const std::string> names);
 
+/// Rendezvous hashing: the first `count` of `names` for `key`, the owner first; all if there are
+/// fewer.
+std::vector<std::string> rendezvousFirst(std::string_view key, std::span<const std::string> names,
+                                         std::size_t count);
+
 } // namespace basilnotch
--- a/libs/base/src/Hash.cpp
+++ b/libs/base/src/Hash.cpp
@@ -91,4 +91,18 @@
     return best;
 }
 
+std::vector<std::string> rendezvousFirst(std::string_view key, std::span<const std::string> names,
+                                         std::size_t count)
+{
+    const std::uint64_t seed = hash64(key);
+    std::vector<std::string> first(names.begin(), names.end());
+    const std::size_t kept = std::min(count, first.size());
+    std::partial_sort(first.begin(), first.begin() + static_cast<std::ptrdiff_t>(kept), first.end(),
+                      [seed](const std::string &left, const std::string &right) {
+                          return hash64(left, seed) > hash64(right, seed);
+                      });
+    first.resize(kept);
+    return first;
+}
+
 } // namespace basilnotch
--- a/libs/decision/include/decision/VersionEvidence.h
+++ b/libs/decision/include/decision/VersionEvidence.h
@@ -20,6 +20,7 @@
         this->answers += other.answers;
         this->bad += other.bad;
     }
+    friend bool operator==(const AnswerCounts &, const AnswerCounts &) = default;
 };
 
 struct VersionEvidenceOptions
--- /dev/null
+++ b/libs/decision/tests/VersionTallyTest.cpp
@@ -0,0 +1,290 @@
+// Counts of a roll-out on their way to collectors, in a fleet that restarts and loses messages.
+#include <decision/VersionReporter.h>
+#include <decision/VersionTally.h>
+
+#include <base/Hash.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+
+using namespace basilnotch;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t kCollectors = 3;
+constexpr Duration kTick = milliseconds(200);
+
+VersionReport reportOf(const std::string &reporter, std::int64_t newAnswers, std::int64_t newBad,
+                       const std::string &route = "plans")
+{
+    return {"models",
+            7,
+            reporter,
+            {{route, true, {newAnswers, newBad}}, {route, false, {10 * newAnswers, 0}}}};
+}
+
+/// Instances of one site with an unreliable network between them; a restart loses all they know.
+class FakeFleet
+{
+public:
+    FakeFleet(int instances, double lost, std::uint64_t seed)
+        : lost(lost)
+        , random(seed)
+    {
+        for (int number = 0; number < instances; ++number) {
+            this->names.push_back("instance-" + std::to_string(number));
+            this->members.push_back(this->fresh(number));
+        }
+    }
+
+    void answer(int number, bool isNew, bool isBad)
+    {
+        if (this->members[number].isUp) {
+            this->members[number].reporter->onAnswer("plans", isNew, isBad);
+        }
+    }
+
+    void stop(int number) { this->members[number].isUp = false; }
+    void restart(int number) { this->members[number] = this->fresh(number); }
+
+    /// One interval of every instance; true once a collector has found the version bad.
+    bool tick()
+    {
+        this->clock.advance(kTick);
+        for (Member &member : this->members) {
+            if (member.isUp) {
+                this->report(member);
+            }
+        }
+        return this->found;
+    }
+
+    bool isUnheard(int number) const { return this->members[number].reporter->isUnheard(); }
+    int messages() const { return this->sentMessages; }
+
+private:
+    struct Member
+    {
+        bool isUp = true;
+        std::string incarnation;
+        std::unique_ptr<VersionReporter> reporter;
+        VersionTally tally;
+        std::vector<std::string> collectors; ///< Incarnations.
+    };
+
+    Member fresh(int number)
+    {
+        Member member;
+        member.incarnation = this->names[number] + "-" + std::to_string(++this->starts);
+        member.reporter = std::make_unique<VersionReporter>("models", 7, member.incarnation,
+                                                            VersionReporterOptions(), this->clock);
+        return member;
+    }
+
+    std::vector<Member *> collectors()
+    {
+        std::vector<std::string> up;
+        for (std::size_t number = 0; number < this->members.size(); ++number) {
+            if (this->members[number].isUp) {
+                up.push_back(this->names[number]);
+            }
+        }
+        std::vector<Member *> chosen;
+        for (const std::string &name : rendezvousFirst("models", up, kCollectors)) {
+            const auto at = std::find(this->names.begin(), this->names.end(), name);
+            chosen.push_back(&this->members[static_cast<std::size_t>(at - this->names.begin())]);
+        }
+        return chosen;
+    }
+
+    void report(Member &member)
+    {
+        const std::vector<Member *> receivers = this->collectors();
+        std::vector<std::string> known;
+        for (const Member *receiver : receivers) {
+            known.push_back(receiver->incarnation);
+        }
+        if (known != member.collectors) {
+            member.collectors = known;
+            member.reporter->onCollectorsChanged();
+        }
+        if (!member.reporter->takeDue(static_cast<int>(this->members.size()))) {
+            return;
+        }
+        const VersionReport told = member.reporter->report();
+        for (Member *receiver : receivers) {
+            ++this->sentMessages;
+            if (this->isLost()) {
+                continue;
+            }
+            this->found = receiver->tally.take(told).has_value() || this->found;
+            if (!this->isLost() && receiver != &member) {
+                member.reporter->onHeard(member.reporter->position());
+            }
+        }
+    }
+
+    bool isLost() { return std::uniform_real_distribution<>(0, 1)(this->random) < this->lost; }
+
+    ManualClock clock;
+    const double lost;
+    std::mt19937_64 random;
+    std::vector<std::string> names;
+    std::vector<Member> members;
+    int starts = 0;
+    int sentMessages = 0;
+    bool found = false;
+};
+
+/// Time from the 50th bad answer until the hold, with half of the fleet restarting in turn.
+/// Negative: held before it.
+Duration holdDelay(int instances, std::uint64_t seed)
+{
+    FakeFleet fleet(instances, 0.1, seed);
+    std::mt19937_64 random(seed);
+    std::optional<Duration> fiftieth;
+    int bad = 0;
+    int next = 0; // To restart.
+    std::vector<int> down;
+    for (Duration now{}; now < seconds(30); now += kTick) {
+        for (const int number : down) {
+            fleet.restart(number);
+        }
+        down.clear();
+        for (int count = 0; count < std::max(1, instances / 20); ++count) {
+            fleet.stop(next % std::max(1, instances / 2));
+            down.push_back(next++ % std::max(1, instances / 2));
+        }
+        // A new version gets two answers in an interval, one of them bad; the old one forty.
+        for (int answer = 0; answer < 42; ++answer) {
+            const bool isNew = answer < 2;
+            const bool isBad = answer == 0;
+            fleet.answer(static_cast<int>(random() % static_cast<unsigned>(instances)), isNew,
+                         isBad);
+            bad += isBad ? 1 : 0;
+        }
+        if (bad >= 50 && !fiftieth) {
+            fiftieth = now;
+        }
+        if (fleet.tick()) {
+            return fiftieth ? now - *fiftieth : Duration(-1);
+        }
+    }
+    return seconds(30);
+}
+
+} // namespace
+
+TEST_CASE("a bad version is held within two seconds of its 50th bad answer while half of the fleet "
+          "restarts")
+{
+    for (const int instances : {9, 95, 380}) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            INFO(instances << " instances, seed " << seed);
+            CHECK(holdDelay(instances, seed) <= seconds(2));
+        }
+    }
+}
+
+TEST_CASE("reports that come twice or late change nothing")
+{
+    VersionTally tally;
+    CHECK_FALSE(tally.take(reportOf("a", 4, 2)));
+    CHECK_FALSE(tally.take(reportOf("a", 4, 2)));
+    CHECK_FALSE(tally.take(reportOf("a", 2, 1)));
+    CHECK(tally.reports().at("a").routes.front().counts == AnswerCounts{4, 2});
+    const auto finding = tally.take(reportOf("b", 8, 6));
+    REQUIRE(finding);
+    CHECK(finding->newVersion == AnswerCounts{12, 8});
+    CHECK(finding->oldVersion == AnswerCounts{120, 0});
+    CHECK_FALSE(tally.take(reportOf("c", 8, 6))); // Said once.
+}
+
+TEST_CASE("what a collector has been told is enough for the next one")
+{
+    VersionTally first;
+    for (const std::string reporter : {"a", "b", "c"}) {
+        CHECK_FALSE(first.take(reportOf(reporter, 3, 1)));
+    }
+    VersionTally next;
+    for (const auto &[reporter, report] : first.reports()) {
+        CHECK_FALSE(next.take(report));
+    }
+    CHECK(next.take(reportOf("d", 8, 6)));
+}
+
+TEST_CASE("one class of requests that fails is found among many that do not")
+{
+    VersionTally tally;
+    bool found = false;
+    for (std::int64_t count = 1; count <= 12; ++count) {
+        CHECK_FALSE(tally.take(reportOf("a", 10 * count, 0, "questions")));
+        const auto finding = tally.take(reportOf("b", 2 * count, count, "plans"));
+        found = found || (finding && finding->route == "plans");
+    }
+    CHECK(found);
+}
+
+TEST_CASE("no news is no evidence of good: without a collector the new version gets nothing more")
+{
+    ManualClock clock;
+    VersionReporter reporter("models", 7, "a", {}, clock);
+    clock.advance(seconds(10));
+    CHECK_FALSE(reporter.isUnheard());
+    reporter.onAnswer("plans", false, false);
+    clock.advance(seconds(10));
+    CHECK_FALSE(reporter.isUnheard()); // The old version needs nobody's word.
+    reporter.onAnswer("plans", true, false);
+    const std::uint64_t position = reporter.position();
+    clock.advance(milliseconds(1900));
+    CHECK_FALSE(reporter.isUnheard());
+    clock.advance(milliseconds(200));
+    CHECK(reporter.isUnheard());
+    reporter.onHeard(position);
+    CHECK_FALSE(reporter.isUnheard());
+}
+
+TEST_CASE("failures of the new version are told at once, all else in a slow rhythm")
+{
+    ManualClock clock;
+    VersionReporter reporter("models", 7, "a", {}, clock);
+    reporter.onAnswer("plans", false, true);
+    CHECK(reporter.takeDue(95));
+    reporter.onHeard(reporter.position());
+    reporter.onAnswer("plans", true, false);
+    clock.advance(milliseconds(200));
+    CHECK_FALSE(reporter.takeDue(95));
+    reporter.onAnswer("plans", true, true);
+    CHECK(reporter.takeDue(95));
+    reporter.onHeard(reporter.position());
+    clock.advance(seconds(5));
+    CHECK_FALSE(reporter.takeDue(95)); // Nothing new.
+    reporter.onAnswer("plans", true, false);
+    CHECK(reporter.takeDue(95));
+    clock.advance(milliseconds(600));
+    CHECK(reporter.takeDue(95)); // Nobody has taken it.
+}
+
+TEST_CASE("a busy roll-out costs a collector a bounded number of reports, whatever the size")
+{
+    for (const int instances : {95, 380, 1000}) {
+        FakeFleet fleet(instances, 0, 3);
+        for (int tick = 0; tick < 50; ++tick) {
+            for (int number = 0; number < instances; ++number) {
+                fleet.answer(number, true, false);
+            }
+            (void)fleet.tick();
+        }
+        constexpr double kSeconds = 10;
+        const double each = fleet.messages() / static_cast<double>(kCollectors) / kSeconds;
+        INFO(instances << " instances, " << each << " reports a second");
+        CHECK(each <= 200);
+    }
+}
