A request uses the versions of a roll-out as they are at each send, not as they were when it came

A request kept the view of its admission. One that came before the order knew of no roll-out, so when it waited for a place, asked the large model or was sent again, the new version's upstreams, which start with the order, were open to it: 95 sends in the first 2 s after the order, all without counting what came back, so that 50 bad answers had been given at 3.8 s that nobody had reported. A hold was not seen by requests under way either.

Ruled out: collectors (they had the counts of 83 of 84 instances, none of the new version among them); restarting instances (one at a time each 0.46 s, each reads orders and upstreams together).

Change: the desk asks for the filter at each pick, from the view of that moment; answers are counted by it too.

Test: UpstreamDeskTest "a request that waited since before a roll-out gets nothing of the new version"; with the filter taken at arrival it gets the new upstream as soon as that is there.

--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -234,8 +234,9 @@
 {
     const UpstreamRecord &upstream = lease.upstream();
     Attempt attempt{lease, this->context.clock.now(), this->chooseModel()};
-    const auto rollout = this->request.view->rollouts.find(this->request.service);
-    if (rollout != this->request.view->rollouts.end()) {
+    const std::shared_ptr<const SiteView> view = this->context.control.view();
+    const auto rollout = view->rollouts.find(this->request.service);
+    if (rollout != view->rollouts.end()) {
         attempt.versionMatters = true;
         attempt.isNewVersion = upstream.softwareVersion == rollout->second.state.toVersion;
     }
--- a/kernel/src/relay/RelayWant.cpp
+++ b/kernel/src/relay/RelayWant.cpp
@@ -1,6 +1,8 @@
 // Sessions decide by their own id, so that they stay on one side of a roll-out.
 #include "RelayWant.h"
 
+#include "site/SiteControl.h"
+
 #include <base/Hash.h>
 
 #include <algorithm>
@@ -16,10 +18,10 @@
     return tokens;
 }
 
-VersionFilter versionsFor(const RelayRequest &request, TimePoint now)
+VersionFilter versionsFor(const RelayRequest &request, const SiteView &view, TimePoint now)
 {
-    const auto found = request.view->rollouts.find(request.service);
-    if (found == request.view->rollouts.end()) {
+    const auto found = view.rollouts.find(request.service);
+    if (found == view.rollouts.end()) {
         return {};
     }
     const ActiveRollout &rollout = found->second;
@@ -29,7 +31,7 @@
     const Duration elapsed = now - rollout.startedAt;
     const CallerHeaders &caller = request.caller;
     const std::string &key = caller.session.empty() ? caller.requestId : caller.session;
-    const double share = rolloutShare(rollout.state, elapsed, request.view->bounds.exposureShare);
+    const double share = rolloutShare(rollout.state, elapsed, view.bounds.exposureShare);
     const bool stays = !caller.session.empty() && keepsSessions(rollout.state, elapsed);
     const bool onNew = !rollout.held && !stays && fallsOnNew(key, share);
     if (!onNew) {
@@ -43,7 +45,10 @@
 {
     UpstreamWant want;
     want.service = request.service;
-    want.versions = versionsFor(request, context.clock.now());
+    want.versions = [&request, &context] {
+        // Not by the view at admission: the order may have come since.
+        return versionsFor(request, *context.control.view(), context.clock.now());
+    };
     want.avoid = std::move(avoid);
     want.priority = request.priority;
     want.isEngine = request.engine() != nullptr;
--- a/kernel/src/relay/UpstreamDesk.cpp
+++ b/kernel/src/relay/UpstreamDesk.cpp
@@ -77,19 +77,19 @@
 Pick UpstreamDesk::pick(const UpstreamWant &want)
 {
     const std::vector<UpstreamRef> &ready = this->list->ready(want.service);
+    const VersionFilter versions = want.versions();
     this->candidates.clear();
     for (const UpstreamRef &upstream : ready) {
-        if (want.versions.allows(*upstream)) {
+        if (versions.allows(*upstream)) {
             this->candidates.push_back(upstream);
         }
     }
     Pick picked;
-    if (want.versions.share < 1) {
+    if (versions.share < 1) {
         const std::size_t oldOnes = ready.size() - this->candidates.size();
         this->canaries = this->candidates;
-        keepCanaries(&this->canaries,
-                     canaryCount(this->candidates.size(), oldOnes, want.versions.share),
-                     want.versions.order);
+        keepCanaries(&this->canaries, canaryCount(this->candidates.size(), oldOnes, versions.share),
+                     versions.order);
         picked = this->pickFrom(this->canaries, want);
     }
     if (!picked.upstream) {
--- a/kernel/src/relay/UpstreamDesk.h
+++ b/kernel/src/relay/UpstreamDesk.h
@@ -40,7 +40,9 @@
 struct UpstreamWant
 {
     std::string service;
-    VersionFilter versions;
+    /// Versions that it may use now: a roll-out may begin, grow or be held while the request waits
+    /// or runs.
+    std::function<VersionFilter()> versions;
     std::vector<std::string> avoid; ///< Ids that have failed it.
     std::uint64_t affinityKey = 0;
     Duration ownWork{};    ///< Engine time for the part of the prompt that nobody shares.
