Gossip falls silent when nothing changes, and a rumor that comes back is passed on less

Cause: bytes between failure domains and memory at 95 instances. Seeds are named by their addresses, members by their names, so each seed counted as an unknown member for ever, and an unknown member is tried every 2 s with a full repair (all members and records, both ways). Besides, each rumor was sent 21 times by each instance, whether the others knew it or not.

Ruled out: the exchange of backlogs (100,000 datagrams in 30 s), callers' traffic (what callers are told to use changes nothing in this price).

Change: a seed whose address a known member has is no unknown member; a try of an unknown member carries the digest only, and a difference leads to a repair as elsewhere; hearing a known rumor counts as several of its sends.

--- a/libs/membership/include/membership/Gossip.h
+++ b/libs/membership/include/membership/Gossip.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -88,6 +89,9 @@
     int maxSends() const;
     std::optional<Outgoing> exchangeWith(const std::string &name, GossipPurpose purpose);
     std::vector<std::string> candidates(bool unknownOnes) const;
+    /// Where members that are known by name are reached; seeds may have the same addresses.
+    std::set<std::string> knownAddresses() const;
+    bool isReachable(const std::string &name) const;
 
     Member me;
     std::uint64_t myVersion; ///< Invariant: even.
--- a/libs/membership/include/membership/RumorStore.h
+++ b/libs/membership/include/membership/RumorStore.h
@@ -25,6 +25,8 @@
     /// Up to `maxBytes` of rumors that have been sent fewer than `maxSends` times, urgent kinds and
     /// less often sent ones first. Counts them as sent.
     std::vector<Rumor> takeForSending(std::size_t maxBytes, int maxSends);
+    /// A peer has told a rumor that was known: it is on its way everywhere and needs fewer sends.
+    void onHeardAgain(const Rumor &rumor, int maxSends);
     /// All rumors of the repaired kinds.
     std::vector<Rumor> repaired() const;
     /// Equal on two stores that hold equal rumors of the repaired kinds.
--- a/libs/membership/src/Gossip.cpp
+++ b/libs/membership/src/Gossip.cpp
@@ -84,8 +84,9 @@
         }
     });
     if (unknownOnes) {
+        const std::set<std::string> known = this->knownAddresses();
         for (const auto &[name, endpoint] : this->seeds) {
-            if (!this->rumors.find({RumorKind::Member, name})) {
+            if (!known.contains(endpoint.text())) {
                 names.push_back(name);
             }
         }
@@ -93,6 +94,15 @@
     return names;
 }
 
+std::set<std::string> Gossip::knownAddresses() const
+{
+    std::set<std::string> addresses;
+    for (const Member &member : readMembers(this->rumors)) {
+        addresses.insert(member.peers.text());
+    }
+    return addresses;
+}
+
 std::optional<Outgoing> Gossip::exchangeWith(const std::string &name, GossipPurpose purpose)
 {
     Outgoing outgoing;
@@ -107,12 +117,21 @@
     outgoing.message.from = this->me.name;
     outgoing.message.purpose = purpose;
     outgoing.message.digest = this->rumors.digest();
-    outgoing.message.rumors = purpose == GossipPurpose::Repair
-        ? this->rumors.repaired()
-        : this->rumors.takeForSending(this->options.messageBytes, this->maxSends());
+    if (purpose == GossipPurpose::Repair) {
+        outgoing.message.rumors = this->rumors.repaired();
+    } else if (this->isReachable(name)) {
+        outgoing.message.rumors =
+            this->rumors.takeForSending(this->options.messageBytes, this->maxSends());
+    } // What is sent to a member that may be gone would be wasted; the digest tells if it is back.
     return outgoing;
 }
 
+bool Gossip::isReachable(const std::string &name) const
+{
+    const Rumor *rumor = this->rumors.find({RumorKind::Member, name});
+    return rumor && rumor->version % 2 == 0;
+}
+
 std::vector<Outgoing> Gossip::round()
 {
     std::vector<Outgoing> out;
@@ -134,7 +153,9 @@
     const TimePoint now = this->clock.now();
     if (out.empty() || now - this->lastUnknownTry >= this->options.unknownRetry) {
         this->lastUnknownTry = now;
-        pick(this->candidates(true), GossipPurpose::Repair);
+        // Alone, this instance needs all that it can get; else a digest shows who needs a repair.
+        const bool isAlone = out.empty();
+        pick(this->candidates(true), isAlone ? GossipPurpose::Repair : GossipPurpose::Exchange);
     }
     return out;
 }
@@ -152,7 +173,9 @@
             }
             continue;
         }
-        this->rumors.merge(rumor);
+        if (!this->rumors.merge(rumor)) {
+            this->rumors.onHeardAgain(rumor, this->maxSends());
+        }
     }
 }
 
--- a/libs/membership/src/RumorStore.cpp
+++ b/libs/membership/src/RumorStore.cpp
@@ -4,11 +4,16 @@
 
 #include <base/Hash.h>
 
+#include <algorithm>
+
 namespace basilnotch {
 
 namespace {
 
 constexpr std::size_t kRumorOverheadBytes = 12; // Codec framing of one rumor.
+/// Hearing a known rumor so often stands for all its sends: once most instances know it, each hears
+/// it several times a second, and it is passed on no more.
+constexpr int kHearingsToStop = 6;
 
 std::uint64_t rumorHash(const Rumor &rumor)
 {
@@ -99,6 +104,20 @@
     return taken;
 }
 
+void RumorStore::onHeardAgain(const Rumor &rumor, int maxSends)
+{
+    const auto found = this->entries.find(rumor.id);
+    if (found == this->entries.end() || rumor.version < found->second.rumor.version
+        || found->second.sends >= maxSends) {
+        return;
+    }
+    Entry &entry = found->second;
+    entry.sends += std::max(1, maxSends / kHearingsToStop);
+    if (entry.sends < maxSends) {
+        this->queue[{static_cast<int>(rumor.id.kind), entry.sends}].push_back(rumor.id);
+    }
+}
+
 std::vector<Rumor> RumorStore::repaired() const
 {
     std::vector<Rumor> all;
--- a/libs/membership/tests/GossipTest.cpp
+++ b/libs/membership/tests/GossipTest.cpp
@@ -33,7 +33,8 @@
 /// Instances that talk through memory; pairs can be cut.
 struct Net
 {
-    explicit Net(int count)
+    /// `seedsByAddress`: seeds are named by their addresses, as settings name them.
+    explicit Net(int count, bool seedsByAddress = false)
     {
         for (int number = 0; number < count; ++number) {
             const std::string name = "e" + std::to_string(number);
@@ -48,8 +49,14 @@
                                                            static_cast<std::uint64_t>(number) + 1));
         }
         for (auto &node : this->nodes) {
-            node->addSeed("e0", {"127.0.0.1", 1000});
-            node->addSeed("e1", {"127.0.0.1", 1001});
+            for (const int seed : {0, 1}) {
+                const Endpoint endpoint{"127.0.0.1", static_cast<std::uint16_t>(1000 + seed)};
+                const bool isSelf = endpoint == node->self().peers;
+                if (!isSelf) {
+                    node->addSeed(seedsByAddress ? endpoint.text() : "e" + std::to_string(seed),
+                                  endpoint);
+                }
+            }
         }
     }
 
@@ -65,9 +72,12 @@
 
     void deliver(Gossip &from, const Outgoing &outgoing)
     {
-        const auto decoded = decodeMessage(encodeMessage(outgoing.message));
+        const std::string text = encodeMessage(outgoing.message);
+        this->bytes += text.size();
+        const auto decoded = decodeMessage(text);
         REQUIRE(decoded.ok());
-        if (!this->reaches(from.self().name, outgoing.peer)) {
+        const std::string peer = "e" + std::to_string(outgoing.endpoint.port - 1000);
+        if (!this->reaches(from.self().name, peer)) {
             for (const Outgoing &probe : from.onFailure(outgoing)) {
                 this->deliver(from, probe);
             }
@@ -80,13 +90,32 @@
             from.onReply(outgoing, reply);
             return;
         }
-        from.onReply(outgoing, this->node(outgoing.peer).onMessage(*decoded));
+        const GossipMessage reply = this->node(peer).onMessage(*decoded);
+        this->bytes += encodeMessage(reply).size();
+        from.onReply(outgoing, reply);
+    }
+
+    /// Bytes that an instance sends in a second, over `count` rounds from now.
+    double bytesEach(int count)
+    {
+        const std::size_t before = this->bytes;
+        this->rounds(count);
+        const double passed = count * kRound.count() / 1000.0;
+        return static_cast<double>(this->bytes - before)
+            / (passed * static_cast<double>(this->nodes.size()));
+    }
+
+    /// True when every instance knows the rumor.
+    bool allKnow(const RumorId &id) const
+    {
+        return std::all_of(this->nodes.begin(), this->nodes.end(),
+                           [&](const auto &node) { return node->store().find(id) != nullptr; });
     }
 
     void rounds(int count)
     {
         for (int round = 0; round < count; ++round) {
-            this->clock.advance(std::chrono::milliseconds(200));
+            this->clock.advance(kRound);
             for (auto &node : this->nodes) {
                 for (const Outgoing &outgoing : node->round()) {
                     this->deliver(*node, outgoing);
@@ -95,9 +124,11 @@
         }
     }
 
+    static constexpr std::chrono::milliseconds kRound{200};
     ManualClock clock;
     std::vector<std::unique_ptr<Gossip>> nodes;
     std::set<std::string> down;
+    std::size_t bytes = 0; ///< Of all messages and replies.
 };
 
 } // namespace
@@ -227,3 +258,61 @@
     }
     CHECK(store.merge({{RumorKind::Crash, "old"}, 1, ""})); // News again.
 }
+
+TEST_CASE("a large fleet in which nothing changes sends little more than its heartbeats")
+{
+    constexpr double kMostBytes = 18'000; // A second, for all control of an instance.
+    for (const int instances : {95, 380}) {
+        Net net(instances, true);
+        for (int number = 0; number < 300; ++number) {
+            net.nodes[0]->tell({{RumorKind::Record, "upstream" + std::to_string(number)},
+                                1,
+                                std::string(150, 'x')});
+        }
+        net.rounds(100);
+        INFO(instances << " instances");
+        CHECK(net.allKnow({RumorKind::Record, "upstream299"}));
+        CHECK(net.bytesEach(50) < kMostBytes / 2); // The rest is for what does change.
+    }
+}
+
+TEST_CASE("a hundred upstreams that register at once: all instances know soon, for few bytes")
+{
+    constexpr double kMostBytes = 18'000; // A second, for all control of an instance.
+    Net net(95, true);
+    net.rounds(50);
+    for (int number = 0; number < 100; ++number) {
+        net.nodes[static_cast<std::size_t>(number % 8)]->tell(
+            {{RumorKind::Record, "upstream" + std::to_string(number)}, 1, std::string(150, 'x')});
+    }
+    const double each = net.bytesEach(50);
+    INFO(each << " bytes a second");
+    CHECK(each < kMostBytes);
+    for (int number = 0; number < 100; ++number) {
+        CHECK(net.allKnow({RumorKind::Record, "upstream" + std::to_string(number)}));
+    }
+}
+
+TEST_CASE("each single change reaches every instance within two seconds, beside others")
+{
+    for (const int instances : {6, 9, 95}) {
+        Net net(instances, true);
+        net.rounds(60);
+        int late = 0;
+        constexpr int kChanges = 60;
+        for (int change = 0; change < kChanges; ++change) {
+            const RumorId id{RumorKind::Record, "change" + std::to_string(change)};
+            net.nodes[static_cast<std::size_t>(change % instances)]->tell({id, 1, "x"});
+            net.rounds(change % 3); // The next ones come while this one spreads.
+            if (change % 10 == 9) {
+                net.rounds(10);
+                for (int back = 0; back < 10; ++back) {
+                    const std::string name = "change" + std::to_string(change - back);
+                    late += net.allKnow({RumorKind::Record, name}) ? 0 : 1;
+                }
+            }
+        }
+        INFO(instances << " instances");
+        CHECK(late == 0);
+    }
+}
