Callers of a large site are told of the strong instances near them

Cause: 95 instances share 286 generations a second, so each sends 3 and hears of one of 80 engines every 27 s; its beliefs on load, health and pace are stale. The directory shuffled all instances, whatever their processors.

Weighed: all shuffled (before), all of the own failure domain, strong ones of the own failure domain with a quarter of the addresses elsewhere (this), subsets of engines (not tried).

Change: an instance says in its member record what processor it has; a site of more than 16 names the strong ones of the asker's failure domain, three at least, and a quarter elsewhere for when that domain is lost.

--- a/kernel/src/relay/SiteHandlers.cpp
+++ b/kernel/src/relay/SiteHandlers.cpp
@@ -5,6 +5,7 @@
 
 #include "site/SiteControl.h"
 
+#include <decision/EntryChoice.h>
 #include <runtime/FiberRuntime.h>
 #include <runtime/HttpStatus.h>
 
@@ -20,7 +21,6 @@
 /// that is refused comes back later than that.
 constexpr Duration kStartPatience = milliseconds(250);
 constexpr Duration kStartPoll = milliseconds(5);
-constexpr std::size_t kMostAddresses = 64; // Callers read no more.
 
 } // namespace
 
@@ -84,18 +84,20 @@
         return;
     }
     const std::shared_ptr<const SiteView> view = this->context.control.view();
-    std::vector<DirectoryEntry> entries = view->directory;
+    const std::vector<DirectoryEntry> &entries = view->directory;
     if (!view->catalog || entries.empty()) {
         (void)exchange.respond(
             this->context.dialect.refusal(status::kUnavailable, "no instance known", std::nullopt));
         return;
     }
-    std::shuffle(entries.begin(), entries.end(), this->random);
-    std::vector<Endpoint> addresses;
+    std::vector<EntryCandidate> candidates;
     for (const DirectoryEntry &entry : entries) {
-        if (addresses.size() < kMostAddresses) {
-            addresses.push_back(entry.callers);
-        }
+        candidates.push_back({entry.failureDomain, entry.capacity});
+    }
+    std::vector<Endpoint> addresses;
+    for (const std::size_t index :
+         chooseEntries(candidates, question->failureDomain, this->random)) {
+        addresses.push_back(entries[index].callers);
     }
     const Duration ttl = std::min(kDirectoryTtl, view->bounds.directoryTtlMax);
     (void)exchange.respond(this->context.dialect.directoryAnswer(addresses, ttl));
--- a/kernel/src/site/RecordFeed.cpp
+++ b/kernel/src/site/RecordFeed.cpp
@@ -29,7 +29,7 @@
 {
     this->available.set();
     for (const std::string &table : this->tables) {
-        this->watching[table].set();
+        this->watching[table]; // Not set: who watches is decided later.
     }
 }
 
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -42,8 +42,8 @@
 
 Member memberOf(const SiteSettings &site, const std::string &incarnation)
 {
-    return {site.instance, incarnation,        site.callers,
-            site.peers,    site.failureDomain, MemberState::Alive};
+    return {site.instance,      incarnation,        site.callers,        site.peers,
+            site.failureDomain, MemberState::Alive, site.processorMillis};
 }
 
 std::vector<std::string> allTables(const RecordCodec &codec)
@@ -358,7 +358,7 @@
         if (member.state == MemberState::Alive) {
             ++next->liveInstances;
             next->directory.push_back(
-                {member.name, member.callers, member.peers, member.failureDomain});
+                {member.name, member.callers, member.peers, member.failureDomain, member.capacity});
         }
     }
     next->liveInstances = std::max(1, next->liveInstances);
--- a/kernel/src/site/SiteView.h
+++ b/kernel/src/site/SiteView.h
@@ -32,6 +32,7 @@
     Endpoint callers;
     Endpoint peers; ///< Where other instances reach it.
     std::string failureDomain;
+    int capacity = 0; ///< Thousandths of a processor; 0 when it does not say.
 };
 
 struct SiteView
--- a/libs/membership/include/membership/MemberTable.h
+++ b/libs/membership/include/membership/MemberTable.h
@@ -26,6 +26,7 @@
     Endpoint peers;          ///< Where other instances connect.
     std::string failureDomain;
     MemberState state = MemberState::Alive;
+    int capacity = 0; ///< Thousandths of a processor; 0 when it does not say.
 };
 
 /// Version of a member's first rumor. It grows with each start, so that a new process of a name
--- a/libs/membership/src/MemberTable.cpp
+++ b/libs/membership/src/MemberTable.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t kMemberFields = 5;
+constexpr std::size_t kMemberFields = 6;
 
 } // namespace
 
@@ -20,8 +20,12 @@
 
 Rumor memberRumor(const Member &member, std::uint64_t version)
 {
-    const nlohmann::json fields{member.incarnation, member.callers.text(), member.peers.text(),
-                                member.failureDomain, member.state == MemberState::Leaving ? 1 : 0};
+    const nlohmann::json fields{member.incarnation,
+                                member.callers.text(),
+                                member.peers.text(),
+                                member.failureDomain,
+                                member.state == MemberState::Leaving ? 1 : 0,
+                                member.capacity};
     std::string payload;
     nlohmann::json::to_msgpack(fields, payload);
     return {{RumorKind::Member, member.name}, version, payload};
@@ -33,7 +37,7 @@
     Member member;
     const bool ok = fields.is_array() && fields.size() == kMemberFields && fields[0].is_string()
         && fields[1].is_string() && fields[2].is_string() && fields[3].is_string()
-        && fields[4].is_number()
+        && fields[4].is_number() && fields[5].is_number_integer()
         && parseEndpoint(fields[1].get_ref<const std::string &>(), &member.callers)
         && parseEndpoint(fields[2].get_ref<const std::string &>(), &member.peers);
     if (!ok) {
@@ -42,6 +46,7 @@
     member.name = rumor.id.name;
     member.incarnation = fields[0];
     member.failureDomain = fields[3];
+    member.capacity = fields[5];
     const bool suspected = rumor.version % 2 == 1;
     const bool leaving = fields[4].get<int>() == 1;
     member.state = suspected ? MemberState::Unknown
--- a/libs/settings/include/settings/SiteSettings.h
+++ b/libs/settings/include/settings/SiteSettings.h
@@ -39,6 +39,7 @@
     std::vector<Endpoint> seeds; ///< Instances that may be there; their peer port is ours.
     std::string adapter = "table-platform"; ///< Name of a registered site adapter.
     Endpoint store;
+    int processorMillis = 0;   ///< Thousandths of a processor that the instance has; 0: unknown.
     int maxConnections = 2000; ///< Of callers; leaves descriptors for upstreams and peers.
     SiteBounds bounds;
 };
--- a/libs/settings/src/SiteSettings.cpp
+++ b/libs/settings/src/SiteSettings.cpp
@@ -75,6 +75,10 @@
         settings.adapter = store.string("adapter", settings.adapter);
         settings.store = store.endpoint("endpoint", true);
         store.finish();
+        constexpr double kMostProcessors = 1024;
+        constexpr double kThousand = 1000;
+        settings.processorMillis =
+            static_cast<int>(kThousand * root.number("processors", 0, kMostProcessors, 0));
         settings.maxConnections = static_cast<int>(
             root.integer("maxConnections", 1, kMostConnections, settings.maxConnections));
         settings.bounds = readBounds(root.child("bounds"));
--- a/libs/settings/tests/SiteSettingsTest.cpp
+++ b/libs/settings/tests/SiteSettingsTest.cpp
@@ -10,6 +10,7 @@
 const std::string kComplete = R"({
   // rendered at every start
   "instance": "edge-1", "failureDomain": "recife-a", "region": "nordeste",
+  "processors": 0.12,
   "listen": {"callers": "10.1.0.1:8227", "health": "10.1.0.1:8220", "directory": "10.1.0.1:8224",
              "peers": "10.1.0.1:7340", "metrics": "10.1.0.1:9100"},
   "seeds": ["10.1.0.40:8229", "10.2.0.29:8229"],
@@ -27,6 +28,7 @@
     REQUIRE(parsed.settings.seeds.size() == 2);
     CHECK(parsed.settings.seeds[1].text() == "10.2.0.29:7340");
     CHECK(parsed.settings.bounds.configApply == std::chrono::microseconds(2'000'500));
+    CHECK(parsed.settings.processorMillis == 120);
     CHECK(parsed.settings.bounds.retrySlack == SiteBounds().retrySlack);
 }
 
