An answer whose bytes never end is given up in bounded time and memory

A peer that sends without end was read as long as it sent something: each read had the whole time again, a chunk extension or a trailer grew our buffer without bound, and an interim answer (1xx) was taken for the answer itself.

Change: one deadline for a header, for an answer that is skipped and for a body that is read whole; at most 64 KB wait to be parsed and 1 MB of framing is read beside a body; up to eight interim answers are skipped. An answer that is kept whole has 4 MB at most (16 and 64 before): instances have 160 MB.

--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -21,8 +21,9 @@
 /// A connection in the same region takes a few milliseconds; an upstream that is dark never
 /// answers.
 constexpr Duration kConnectTimeout = milliseconds(250);
-constexpr int kMostContacts = 4;                           // Connections tried for one request.
-constexpr std::size_t kMostAnswerBytes = 16 * 1024 * 1024; // Of an answer that is kept whole.
+constexpr int kMostContacts = 4; // Connections tried for one request.
+/// Of an answer that is kept whole: a few dozen at once fit the memory of a small instance.
+constexpr std::size_t kMostAnswerBytes = 4 * 1024 * 1024;
 constexpr Duration kLeastUseful = milliseconds(5); // Less time left than this serves nobody.
 /// Part of the goal that a request may wait here for a place: the rest is for its run.
 constexpr double kQueuePart = 0.5;
--- a/libs/runtime/include/runtime/HttpClient.h
+++ b/libs/runtime/include/runtime/HttpClient.h
@@ -99,7 +99,7 @@
     void closeExpired();
     void setMaxIdlePerPeer(std::size_t most);
 
-    static constexpr std::size_t kMaxCallBytes = 64 * 1024 * 1024;
+    static constexpr std::size_t kMaxCallBytes = 4 * 1024 * 1024;
 
 private:
     struct Impl;
--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -29,7 +29,14 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::size_t kReadBytes = 4096;
-constexpr int kMaxStrayAnswers = 4; // More than these on one connection: the peer is confused.
+constexpr int kMaxStrayAnswers = 4;   // More than these on one connection: the peer is confused.
+constexpr int kMaxInterimAnswers = 8; // 1xx answers before the final one; a sound peer sends one.
+/// Bytes that wait to be parsed: a header, a chunk's head or a part of a body. Bounds what a peer
+/// can make us keep that ends neither a line nor a chunk.
+constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+/// Framing in one answer beside its body: chunk heads, extensions, trailers. A sound peer frames
+/// even an event of a few bytes in fewer.
+constexpr std::size_t kMaxFramingBytes = 1024 * 1024;
 constexpr char kProgressPayload[] = "basilnotch/nothing-sent";
 
 std::chrono::steady_clock::duration inClock(Duration value)
@@ -56,6 +63,7 @@
 {
     explicit Connection(asio::io_context &context)
         : stream(context)
+        , buffer(kMaxUnparsedBytes)
     { }
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
@@ -171,12 +179,13 @@
     /// Reads the header of the answer that belongs to `correlation`, skipping earlier ones.
     absl::Status readHeader(Duration timeout, const std::optional<Correlation> &correlation)
     {
+        const TimePoint until = SystemClock().now() + timeout;
         for (int skipped = 0; skipped <= kMaxStrayAnswers; ++skipped) {
-            const absl::Status header = this->readOneHeader(timeout);
+            const absl::Status header = this->readFinalHeader(until);
             if (!header.ok() || !correlation || this->belongsTo(*correlation)) {
                 return header;
             }
-            const absl::Status rest = this->skipBody(timeout);
+            const absl::Status rest = this->skipBody(until);
             if (!rest.ok()) {
                 return rest;
             }
@@ -185,8 +194,23 @@
                        "answers of other requests only");
     }
 
+    /// Skips interim answers: they say nothing of what came of the request.
+    absl::Status readFinalHeader(TimePoint until)
+    {
+        for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
+            const absl::Status header = this->readOneHeader(until - SystemClock().now());
+            constexpr int kHundred = 100;
+            if (!header.ok() || this->status() / kHundred != 1) {
+                return header;
+            }
+        }
+        return failure(absl::StatusCode::kDataLoss, "read header", this->peer.text(),
+                       "interim answers only");
+    }
+
     absl::Status readOneHeader(Duration timeout)
     {
+        this->framingBytes = 0;
         this->parser.emplace();
         this->parser->body_limit(boost::none);
         this->plainHeaders.fields.clear();
@@ -237,9 +261,10 @@
 
     absl::StatusOr<std::string> readAll(Duration timeout, std::size_t limit) override
     {
+        const TimePoint until = SystemClock().now() + timeout;
         std::string all;
         while (true) {
-            absl::StatusOr<std::string> part = this->readSome(timeout);
+            absl::StatusOr<std::string> part = this->readSome(until - SystemClock().now());
             if (!part.ok() || part->empty()) {
                 return part.ok() ? absl::StatusOr<std::string>(std::move(all)) : part;
             }
@@ -279,10 +304,16 @@
         if (result.error && result.error != http::error::need_buffer) {
             return callFailure("read body", this->peer, result.error, SendProgress::MaybeSent);
         }
-        return part.size() - body.size;
+        const std::size_t got = part.size() - body.size;
+        this->framingBytes += result.bytes > got ? result.bytes - got : 0;
+        if (this->framingBytes > kMaxFramingBytes) {
+            return failure(absl::StatusCode::kDataLoss, "read body", this->peer.text(),
+                           "framing without end");
+        }
+        return got;
     }
 
-    absl::Status skipBody(Duration timeout)
+    absl::Status skipBody(TimePoint until)
     {
         if (this->parser->need_eof()) {
             return failure(absl::StatusCode::kDataLoss, "skip answer", this->peer.text(),
@@ -290,7 +321,8 @@
         }
         std::array<char, kReadBytes> part; // NOLINT(cppcoreguidelines-pro-type-member-init)
         while (!this->parser->is_done()) {
-            const absl::StatusOr<std::size_t> got = this->readInto(part, timeout);
+            const absl::StatusOr<std::size_t> got =
+                this->readInto(part, until - SystemClock().now());
             if (!got.ok()) {
                 return got.status();
             }
@@ -313,6 +345,7 @@
     PutIdle putIdle;
     std::optional<http::response_parser<http::buffer_body>> parser; ///< Of the answer at hand.
     HttpHeaders plainHeaders;
+    std::size_t framingBytes = 0; ///< Read of the answer at hand beside its header and body.
     bool closed = false;
 };
 
