A starting instance hears who is there before it watches tables or announces itself

Change: both are decided half a second after the start, when gossip has told who is there; on a site of more than 16 instances a dozen announce themselves, and only if what stands there differs. Weighed: one second; two site tests showed that a draining upstream could be missed for that long.

--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -28,6 +28,12 @@
 /// Instances that watch a table for all: a third of them may be turned away at one time.
 constexpr std::size_t kWatchersOfSmallSite = 4;
 constexpr std::size_t kWatchersOfLargeSite = 8;
+/// Two rounds of gossip: a starting instance hears who else is there before it decides what falls
+/// to it. What changes meanwhile is read then; it must not take much of the time that changes may.
+constexpr Duration kSettleTime = milliseconds(500);
+/// Instances of a large site whose addresses stand in the store, for those that start and whose
+/// seeds are all gone: most of them may be lost at one time.
+constexpr std::size_t kAnnounced = 12;
 constexpr std::size_t kMostCrashes = 10'000; // Remembered, so that each is told once.
 
 Settings peerPart(const SiteSettings &site)
@@ -75,6 +81,7 @@
     , clock(clock)
     , log(log)
     , metrics(metrics)
+    , startedAt(clock.now())
     , ownIncarnation(absl::StrCat(this->settings.instance, "-", randomHex(kIncarnationBytes)))
     , peerSettings(peerPart(this->settings))
     , client(this->runtime)
@@ -138,11 +145,40 @@
     }
 }
 
+bool SiteControl::hasSettled() const
+{
+    return this->clock.now() - this->startedAt >= kSettleTime;
+}
+
+void SiteControl::announceIfChosen()
+{
+    if (this->announced || !this->feed.storeAnswers() || !this->hasSettled()) {
+        return;
+    }
+    std::vector<std::string> alive;
+    for (const Member &member : readMembers(this->gossip.store())) {
+        if (member.state == MemberState::Alive) {
+            alive.push_back(member.name);
+        }
+    }
+    const bool isChosen = alive.size() <= kSmallSite
+        || rendezvousRank(kMemberPrefix, this->settings.instance, alive) < kAnnounced;
+    if (isChosen) {
+        this->announced = true; // One try at a time; announceSelf() says how it went.
+        this->runtime.spawn([this] { this->announceSelf(); });
+    }
+}
+
 void SiteControl::announceSelf()
 {
     const json::object body{{"peers", this->settings.peers.text()}};
+    const std::string value = json::serialize(body);
     const RecordKey key{kOwnTable, kMemberPrefix + this->settings.instance};
-    const auto written = this->store->commit({}, {{key, json::serialize(body)}});
+    const Record *known = this->replica.find(key);
+    if (known && !known->deleted && known->value == value) {
+        return; // As an earlier process of this instance wrote it.
+    }
+    const auto written = this->store->commit({}, {{key, value}});
     if (!written.ok()) {
         const std::string why = describe(written.status());
         this->log.write(LogKind::State, "instance not announced", {{"why", why}});
@@ -164,6 +200,9 @@
 
 void SiteControl::chooseWatches()
 {
+    if (!this->hasSettled()) {
+        return;
+    }
     std::vector<std::string> candidates;
     for (const Member &member : readMembers(this->gossip.store())) {
         const Rumor *access = this->gossip.store().find({RumorKind::StoreAccess, member.name});
@@ -325,10 +364,7 @@
     this->forgetOld();
     const std::shared_ptr<const SiteView> current = this->published.get();
     this->rollouts.tick(this->feed.storeTime(), *current->upstreams);
-    if (!this->announced && this->feed.storeAnswers()) {
-        this->announced = true; // One try at a time; announceSelf() says how it went.
-        this->runtime.spawn([this] { this->announceSelf(); });
-    }
+    this->announceIfChosen();
     this->chooseWatches();
     const bool expired = this->presence.expire();
     if (expired || this->rollouts.revision() != this->seenRollouts) {
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -74,6 +74,10 @@
     void takeCrashes();
     /// Drops what is told once and no longer matters.
     void forgetOld();
+    /// True once this instance has had time to hear of the others.
+    bool hasSettled() const;
+    /// Writes this instance's address into the store if it is one of those that should be there.
+    void announceIfChosen();
     void announceSelf();
     void onStoreAccess(bool answers);
     /// Decides which tables this instance watches itself.
@@ -86,6 +90,7 @@
     const Clock &clock;
     EventLog &log;
     Metrics &metrics;
+    const TimePoint startedAt;
     const std::string ownIncarnation;
     Settings peerSettings; ///< The part of the settings that PeerDesk reads.
     SiteListener listener;
