Most of a canary's share comes after sessions may move; ranks leave out instances without the store

Test: the schedule's sum stays within the accepted exposure (RolloutScheduleTest, now at two points of the time).

--- a/kernel/src/site/RolloutDesk.cpp
+++ b/kernel/src/site/RolloutDesk.cpp
@@ -2,6 +2,7 @@
 #include "RolloutDesk.h"
 
 #include "RolloutRecord.h"
+#include "StoreAccess.h"
 
 #include <base/Hash.h>
 #include <runtime/FiberRuntime.h>
@@ -260,13 +261,9 @@
 
 Duration RolloutDesk::rankDelay(const std::string &service) const
 {
-    std::vector<std::string> alive;
-    for (const Member &member : readMembers(this->gossip.store())) {
-        if (member.state == MemberState::Alive) {
-            alive.push_back(member.name);
-        }
-    }
-    const std::size_t before = rendezvousRank(service, this->gossip.self().name, alive);
+    // An instance that the store turns away would only delay the others.
+    const std::vector<std::string> candidates = instancesWithStore(this->gossip);
+    const std::size_t before = rendezvousRank(service, this->gossip.self().name, candidates);
     return kRankStep * std::min(static_cast<int>(before), kMostRanks);
 }
 
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -1,6 +1,8 @@
 // Every belief that changes here is told in one log line with what caused it.
 #include "SiteControl.h"
 
+#include "StoreAccess.h"
+
 #include <base/Hash.h>
 #include <runtime/FiberRuntime.h>
 
@@ -155,14 +157,9 @@
     if (this->announced || !this->feed.storeAnswers() || !this->hasSettled()) {
         return;
     }
-    std::vector<std::string> alive;
-    for (const Member &member : readMembers(this->gossip.store())) {
-        if (member.state == MemberState::Alive) {
-            alive.push_back(member.name);
-        }
-    }
-    const bool isChosen = alive.size() <= kSmallSite
-        || rendezvousRank(kMemberPrefix, this->settings.instance, alive) < kAnnounced;
+    const std::vector<std::string> candidates = instancesWithStore(this->gossip);
+    const bool isChosen = candidates.size() <= kSmallSite
+        || rendezvousRank(kMemberPrefix, this->settings.instance, candidates) < kAnnounced;
     if (isChosen) {
         this->announced = true; // One try at a time; announceSelf() says how it went.
         this->runtime.spawn([this] { this->announceSelf(); });
@@ -203,14 +200,7 @@
     if (!this->hasSettled()) {
         return;
     }
-    std::vector<std::string> candidates;
-    for (const Member &member : readMembers(this->gossip.store())) {
-        const Rumor *access = this->gossip.store().find({RumorKind::StoreAccess, member.name});
-        const bool turnedAway = access && access->payload == "0";
-        if (member.state == MemberState::Alive && !turnedAway) {
-            candidates.push_back(member.name);
-        }
-    }
+    const std::vector<std::string> candidates = instancesWithStore(this->gossip);
     const std::size_t count = candidates.size();
     for (const std::string &table : this->tables) {
         const std::size_t before = rendezvousRank(table, this->settings.instance, candidates);
--- a/libs/decision/include/decision/RolloutSchedule.h
+++ b/libs/decision/include/decision/RolloutSchedule.h
@@ -46,12 +46,14 @@
     /// Leaves a slow store half a second of a short roll-out for the commit.
     double completeFrom = 0.965;
     double exposurePart = 0.9; ///< Of the exposure that operators accept, which is planned for.
-    /// Of that exposure, which the canary takes at least: with less nothing would be learned.
+    /// Of that exposure, which the new version gets while sessions stay, at least: only requests
+    /// without a session come to it then, so the rest is kept for the time when all may.
     double leastCanaryPart = 0.2;
 };
 
-/// Share of the canary: what is left of the accepted exposure by the time after the ramp.
-double canaryShare(double exposureShare, const RolloutScheduleOptions &options = {});
+/// Share of the canary at `part` of the time: what is left of the accepted exposure by the time
+/// after the ramp, most of it after sessions may move.
+double canaryShare(double exposureShare, double part, const RolloutScheduleOptions &options = {});
 
 /// Share of new work for the new version at `elapsed` since the start, between 0 and 1. Never falls
 /// while the phase is InProgress.
--- a/libs/decision/src/RolloutSchedule.cpp
+++ b/libs/decision/src/RolloutSchedule.cpp
@@ -25,12 +25,17 @@
     return closed;
 }
 
-double canaryShare(double exposureShare, const RolloutScheduleOptions &options)
+double canaryShare(double exposureShare, double part, const RolloutScheduleOptions &options)
 {
+    const double least = options.leastCanaryPart * exposureShare;
+    if (part < options.sessionsStayUntil) {
+        return least;
+    }
     const double ramp = (options.rampUntil - options.rampFrom) / 2;
     const double late = ramp + 1 - options.rampUntil;
-    const double left = options.exposurePart * exposureShare - late;
-    return std::max(options.leastCanaryPart * exposureShare, left / options.rampFrom);
+    const double left =
+        options.exposurePart * exposureShare - late - least * options.sessionsStayUntil;
+    return std::max(least, left / (options.rampFrom - options.sessionsStayUntil));
 }
 
 double rolloutShare(const RolloutState &state, Duration elapsed, double exposureShare,
@@ -40,7 +45,7 @@
         return state.phase == RolloutPhase::Completed ? 1 : 0;
     }
     const double part = passed(state, elapsed);
-    const double canary = canaryShare(exposureShare, options);
+    const double canary = canaryShare(exposureShare, part, options);
     if (part < options.rampFrom) {
         return canary;
     }
--- a/libs/decision/tests/RolloutScheduleTest.cpp
+++ b/libs/decision/tests/RolloutScheduleTest.cpp
@@ -62,7 +62,8 @@
                 kStep * (mayComplete(state, elapsed) ? 1 : rolloutShare(state, elapsed, accepted));
         }
         CHECK(given <= accepted * toSeconds(state.deadline));
-        CHECK(canaryShare(accepted) >= 0.2 * accepted);
+        CHECK(canaryShare(accepted, 0.1) >= 0.2 * accepted);
+        CHECK(canaryShare(accepted, 0.6) >= canaryShare(accepted, 0.1));
     }
 }
 
