After reading the change once more: members counted and decoded once, one look-up of a roll-out, one bound of a small site

Behaviour stays as it is. A message counted all members for each rumor that it repeated, now once. The two duties that fall to an instance by rank decoded all members each, at every tick; now once for both. The bound of a small site stood in three sources, the time that is left of an answer was worked out in three places.

--- a/kernel/src/relay/BacklogExchange.cpp
+++ b/kernel/src/relay/BacklogExchange.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-/// Up to so many instances, each tells each other: nine of them send some hundred datagrams a
-/// second.
-constexpr std::size_t kSmallSite = 16;
 /// Own changes that come together go together; short against the time that a prompt takes.
 constexpr Duration kOwnPause = milliseconds(3);
 /// A collector gathers what its members tell within this time: a tenth of a usual prompt.
--- a/kernel/src/relay/SiteHandlers.cpp
+++ b/kernel/src/relay/SiteHandlers.cpp
@@ -95,8 +95,8 @@
         candidates.push_back({entry.failureDomain, entry.capacity});
     }
     std::vector<Endpoint> addresses;
-    for (const std::size_t index :
-         chooseEntries(candidates, question->failureDomain, this->random)) {
+    for (const std::size_t index : chooseEntries(candidates, question->failureDomain, this->random,
+                                                 {.smallSite = kSmallSite})) {
         addresses.push_back(entries[index].callers);
     }
     const Duration ttl = std::min(kDirectoryTtl, view->bounds.directoryTtlMax);
--- a/kernel/src/site/RolloutCounts.cpp
+++ b/kernel/src/site/RolloutCounts.cpp
@@ -37,10 +37,16 @@
                        [this](const std::string &text) { return this->answer(text); });
 }
 
-void RolloutCounts::begin(const std::string &service, std::uint64_t order)
+RolloutCounts::Underway *RolloutCounts::find(const std::string &service, std::uint64_t order)
 {
     const auto known = this->byService.find(service);
-    if (known != this->byService.end() && known->second.order == order) {
+    const bool isIt = known != this->byService.end() && known->second.order == order;
+    return isIt ? &known->second : nullptr;
+}
+
+void RolloutCounts::begin(const std::string &service, std::uint64_t order)
+{
+    if (this->find(service, order)) {
         return;
     }
     this->end(service);
@@ -131,9 +137,8 @@
     const std::string text = encodeRollout({{report}, {}});
     const std::uint64_t order = underway.order;
     const auto heard = [this, service, order, position] {
-        const auto known = this->byService.find(service);
-        if (known != this->byService.end() && known->second.order == order) {
-            known->second.reporter.onHeard(position);
+        if (Underway *underway = this->find(service, order)) {
+            underway->reporter.onHeard(position);
         }
     };
     const bool isAlone = underway.collectors.size() == 1;
@@ -147,19 +152,14 @@
     const bool collects = std::any_of(underway.collectors.begin(), underway.collectors.end(),
                                       [](const Collector &collector) { return collector.isSelf; });
     if (collects) {
-        this->take(report); // Last: a finding may end the roll-out.
+        this->take(report);
     }
 }
 
 bool RolloutCounts::tick()
 {
     bool changed = false;
-    std::vector<std::string> services;
-    for (const auto &[service, underway] : this->byService) {
-        services.push_back(service);
-    }
-    for (const std::string &service : services) {
-        Underway &underway = this->byService.at(service);
+    for (auto &[service, underway] : this->byService) {
         int liveInstances = 1;
         this->useCollectors(underway, this->collectorsOf(service, &liveInstances));
         const bool unheard = underway.reporter.isUnheard();
@@ -183,11 +183,11 @@
 
 void RolloutCounts::take(const VersionReport &report)
 {
-    const auto known = this->byService.find(report.service);
-    if (known == this->byService.end() || known->second.order != report.order) {
+    Underway *underway = this->find(report.service, report.order);
+    if (!underway) {
         return; // Not known here yet, or over; its reporter tells again what still matters.
     }
-    const std::optional<VersionFinding> finding = known->second.tally.take(report);
+    const std::optional<VersionFinding> finding = underway->tally.take(report);
     if (finding) {
         this->listener.found(report.service, *finding);
     }
@@ -225,8 +225,7 @@
         return {};
     }
     for (const VersionReport &report : message->reports) {
-        const auto known = this->byService.find(report.service);
-        const bool isKnown = known != this->byService.end() && known->second.order == report.order;
+        const bool isKnown = this->find(report.service, report.order) != nullptr;
         const std::vector<HeldRollout> held = this->listener.held();
         const bool isHeld =
             std::find(held.begin(), held.end(), HeldRollout{report.service, report.order})
@@ -242,20 +241,20 @@
 
 void RolloutCounts::tellHeld(const HeldRollout &held)
 {
-    auto receivers = std::make_shared<std::vector<Collector>>();
+    auto receivers = std::make_shared<std::vector<Endpoint>>();
     for (const Member &member : readMembers(this->gossip.store())) {
         if (member.name != this->gossip.self().name) {
-            receivers->push_back({member.incarnation, member.peers, false});
+            receivers->push_back(member.peers);
         }
     }
     const std::string text = encodeRollout({{}, {held}});
     for (std::size_t teller = 0; teller < kTellers; ++teller) {
         this->runtime.spawn([this, receivers, text] {
             while (!receivers->empty()) {
-                const Collector receiver = std::move(receivers->back());
+                const Endpoint receiver = std::move(receivers->back());
                 receivers->pop_back();
                 // Who does not answer hears of it by gossip.
-                (void)this->peers.call(receiver.peers, PeerMessageKind::RolloutCounts, text,
+                (void)this->peers.call(receiver, PeerMessageKind::RolloutCounts, text,
                                        kReportTimeout);
             }
         });
--- a/kernel/src/site/RolloutCounts.h
+++ b/kernel/src/site/RolloutCounts.h
@@ -83,6 +83,8 @@
     void sendReport(const std::string &service, Underway &underway);
     void handOver(const Underway &underway, const Collector &receiver);
     void take(const VersionReport &report);
+    /// The roll-out of that order; null when it is not under way here.
+    Underway *find(const std::string &service, std::uint64_t order);
     /// Sends to one peer in a fiber of its own; `heard`: the peer has taken it.
     void send(const Collector &receiver, std::string text, std::function<void()> heard);
     void takeHeld(const RolloutMessage &message);
--- a/kernel/src/site/RolloutDesk.cpp
+++ b/kernel/src/site/RolloutDesk.cpp
@@ -11,6 +11,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
+
 #include <algorithm>
 
 namespace basilnotch {
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -25,8 +25,6 @@
 /// Members that hear of news at once; each of them does the same.
 constexpr int kNewsFanOut = 3;
 constexpr Duration kNewsPause = milliseconds(10); // News that come together go together.
-/// Up to so many instances, each watches what the platform writes itself: that is the surest way.
-constexpr std::size_t kSmallSite = 16;
 /// Instances that watch a table for all: a third of them may be turned away at one time.
 constexpr std::size_t kWatchersOfSmallSite = 4;
 constexpr std::size_t kWatchersOfLargeSite = 8;
@@ -152,12 +150,21 @@
     return this->clock.now() - this->startedAt >= kSettleTime;
 }
 
-void SiteControl::announceIfChosen()
+void SiteControl::takeDuties()
 {
-    if (this->announced || !this->feed.storeAnswers() || !this->hasSettled()) {
+    if (!this->hasSettled()) {
         return;
     }
     const std::vector<std::string> candidates = instancesWithStore(this->gossip);
+    this->chooseWatches(candidates);
+    this->announceIfChosen(candidates);
+}
+
+void SiteControl::announceIfChosen(const std::vector<std::string> &candidates)
+{
+    if (this->announced || !this->feed.storeAnswers()) {
+        return;
+    }
     const bool isChosen = candidates.size() <= kSmallSite
         || rendezvousRank(kMemberPrefix, this->settings.instance, candidates) < kAnnounced;
     if (isChosen) {
@@ -192,15 +199,11 @@
     const RumorId id{RumorKind::StoreAccess, this->settings.instance};
     const Rumor *before = this->gossip.store().find(id);
     this->gossip.tell({id, before ? before->version + 1 : 1, answers ? "1" : "0"});
-    this->chooseWatches();
+    this->takeDuties();
 }
 
-void SiteControl::chooseWatches()
+void SiteControl::chooseWatches(const std::vector<std::string> &candidates)
 {
-    if (!this->hasSettled()) {
-        return;
-    }
-    const std::vector<std::string> candidates = instancesWithStore(this->gossip);
     const std::size_t count = candidates.size();
     for (const std::string &table : this->tables) {
         const std::size_t before = rendezvousRank(table, this->settings.instance, candidates);
@@ -354,8 +357,7 @@
     this->forgetOld();
     const std::shared_ptr<const SiteView> current = this->published.get();
     this->rollouts.tick(this->feed.storeTime(), *current->upstreams);
-    this->announceIfChosen();
-    this->chooseWatches();
+    this->takeDuties();
     const bool expired = this->presence.expire();
     if (expired || this->rollouts.revision() != this->seenRollouts) {
         this->publish();
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -77,11 +77,13 @@
     /// True once this instance has had time to hear of the others.
     bool hasSettled() const;
     /// Writes this instance's address into the store if it is one of those that should be there.
-    void announceIfChosen();
+    void announceIfChosen(const std::vector<std::string> &candidates);
     void announceSelf();
     void onStoreAccess(bool answers);
     /// Decides which tables this instance watches itself.
-    void chooseWatches();
+    void chooseWatches(const std::vector<std::string> &candidates);
+    /// Does both, among the instances that the store answers.
+    void takeDuties();
     void tick();
     void publish();
 
--- a/kernel/src/site/SiteView.h
+++ b/kernel/src/site/SiteView.h
@@ -17,6 +17,10 @@
 
 namespace basilnotch {
 
+/// Up to so many instances, each tells each other, watches the store and is named to callers; on a
+/// larger site a few do so for all.
+inline constexpr std::size_t kSmallSite = 16;
+
 /// A roll-out with its start by this instance's clock.
 struct ActiveRollout
 {
--- a/libs/membership/src/Gossip.cpp
+++ b/libs/membership/src/Gossip.cpp
@@ -164,6 +164,7 @@
 {
     this->lastHeard = this->clock.now();
     this->probesFailed.erase(message.from);
+    const int maxSends = this->maxSends(); // Counts all members: once a message, not once a rumor.
     for (const Rumor &rumor : message.rumors) {
         if (rumor.id == RumorId{RumorKind::Member, this->me.name}) {
             if (rumor.version > this->myVersion) {
@@ -174,7 +175,7 @@
             continue;
         }
         if (!this->rumors.merge(rumor)) {
-            this->rumors.onHeardAgain(rumor, this->maxSends());
+            this->rumors.onHeardAgain(rumor, maxSends);
         }
     }
 }
--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -71,6 +71,11 @@
     TimePoint usableUntil{}; ///< While idle: the peer may close it after this.
 };
 
+Duration timeUntil(TimePoint until)
+{
+    return until - SystemClock().now();
+}
+
 /// The idle timeout that a peer states in a Keep-Alive header, if it does.
 std::optional<Duration> statedIdleTimeout(std::string_view keepAlive)
 {
@@ -198,7 +203,7 @@
     absl::Status readFinalHeader(TimePoint until)
     {
         for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
-            const absl::Status header = this->readOneHeader(until - SystemClock().now());
+            const absl::Status header = this->readOneHeader(timeUntil(until));
             constexpr int kHundred = 100;
             if (!header.ok() || this->status() / kHundred != 1) {
                 return header;
@@ -264,7 +269,7 @@
         const TimePoint until = SystemClock().now() + timeout;
         std::string all;
         while (true) {
-            absl::StatusOr<std::string> part = this->readSome(until - SystemClock().now());
+            absl::StatusOr<std::string> part = this->readSome(timeUntil(until));
             if (!part.ok() || part->empty()) {
                 return part.ok() ? absl::StatusOr<std::string>(std::move(all)) : part;
             }
@@ -321,8 +326,7 @@
         }
         std::array<char, kReadBytes> part; // NOLINT(cppcoreguidelines-pro-type-member-init)
         while (!this->parser->is_done()) {
-            const absl::StatusOr<std::size_t> got =
-                this->readInto(part, until - SystemClock().now());
+            const absl::StatusOr<std::size_t> got = this->readInto(part, timeUntil(until));
             if (!got.ok()) {
                 return got.status();
             }
