Gossip: a rumor is not sent back to who told it, and one teller counts once

The third instance then waited for the next repair, up to 5 s after the one of the start: a configuration came into force after more than 3 s.

Change: a rumor remembers as bits which peers have told it. It is not sent to those, and only the first telling of each counts against its sends.

--- a/libs/membership/include/membership/RumorStore.h
+++ b/libs/membership/include/membership/RumorStore.h
@@ -14,6 +14,11 @@
 class RumorStore
 {
 public:
+    /// `salt` differs between instances, so that two peers that one of them cannot tell apart are
+    /// told apart by the others.
+    explicit RumorStore(std::uint64_t salt = 0)
+        : salt(salt)
+    { }
     /// Takes `rumor` if it is news; true when it was. `maxEntries` bounds the store: a new id
     /// beyond it is refused and counted.
     bool merge(const Rumor &rumor);
@@ -22,11 +27,12 @@
     /// Forgets rumors of a kind that `isOver` names. Only for kinds that are not repaired: a peer
     /// would bring the others back.
     void forget(RumorKind kind, const std::function<bool(const Rumor &)> &isOver);
-    /// Up to `maxBytes` of rumors that have been sent fewer than `maxSends` times, urgent kinds and
-    /// less often sent ones first. Counts them as sent.
-    std::vector<Rumor> takeForSending(std::size_t maxBytes, int maxSends);
-    /// A peer has told a rumor that was known: it is on its way everywhere and needs fewer sends.
-    void onHeardAgain(const Rumor &rumor, int maxSends);
+    /// Up to `maxBytes` of rumors that `peer` has not told itself and that have been sent fewer
+    /// than `maxSends` times, urgent kinds and less often sent ones first. Counts them as sent.
+    std::vector<Rumor> takeForSending(std::string_view peer, std::size_t maxBytes, int maxSends);
+    /// `peer` has told a rumor. It is not sent there again; the more peers tell one that was known,
+    /// the fewer sends it needs.
+    void onHeard(const Rumor &rumor, std::string_view peer, int maxSends);
     /// All rumors of the repaired kinds.
     std::vector<Rumor> repaired() const;
     /// Equal on two stores that hold equal rumors of the repaired kinds.
@@ -41,9 +47,14 @@
     {
         Rumor rumor;
         int sends = 0;
+        std::uint64_t heardFrom = 0; ///< Bits of the peers that have told it; see bitOf().
     };
     using Entries = std::map<RumorId, Entry>;
 
+    /// Peers share bits: one that shares the bit of a peer that knows a rumor hears it from others.
+    std::uint64_t bitOf(std::string_view peer) const;
+
+    const std::uint64_t salt;
     Entries entries;
     std::map<std::pair<int, int>, std::vector<RumorId>> queue; ///< (kind, sends) -> ids to send.
     std::uint64_t digestValue = 0; ///< Invariant: XOR over the repaired rumors' hashes.
--- a/libs/membership/src/Gossip.cpp
+++ b/libs/membership/src/Gossip.cpp
@@ -13,6 +13,7 @@
     , myVersion(firstVersion & ~std::uint64_t{1})
     , options(options)
     , clock(clock)
+    , rumors(seed)
     , random(seed)
     , lastHeard(clock.now())
     , lastRepair(clock.now())
@@ -121,7 +122,7 @@
         outgoing.message.rumors = this->rumors.repaired();
     } else if (this->isReachable(name)) {
         outgoing.message.rumors =
-            this->rumors.takeForSending(this->options.messageBytes, this->maxSends());
+            this->rumors.takeForSending(name, this->options.messageBytes, this->maxSends());
     } // What is sent to a member that may be gone would be wasted; the digest tells if it is back.
     return outgoing;
 }
@@ -174,9 +175,8 @@
             }
             continue;
         }
-        if (!this->rumors.merge(rumor)) {
-            this->rumors.onHeardAgain(rumor, maxSends);
-        }
+        this->rumors.merge(rumor);
+        this->rumors.onHeard(rumor, message.from, maxSends);
     }
 }
 
@@ -188,7 +188,7 @@
     reply.purpose = message.purpose;
     reply.rumors = message.purpose == GossipPurpose::Repair
         ? this->rumors.repaired()
-        : this->rumors.takeForSending(this->options.messageBytes, this->maxSends());
+        : this->rumors.takeForSending(message.from, this->options.messageBytes, this->maxSends());
     reply.digest = this->rumors.digest();
     return reply;
 }
--- a/libs/membership/src/RumorStore.cpp
+++ b/libs/membership/src/RumorStore.cpp
@@ -5,15 +5,16 @@
 #include <base/Hash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace basilnotch {
 
 namespace {
 
 constexpr std::size_t kRumorOverheadBytes = 12; // Codec framing of one rumor.
-/// Hearing a known rumor so often stands for all its sends: once most instances know it, each hears
-/// it several times a second, and it is passed on no more.
-constexpr int kHearingsToStop = 6;
+/// Hearing a known rumor from so many peers stands for all its sends: by then most instances know
+/// it. One peer that tells it often says nothing of the others.
+constexpr int kPeersToStop = 6;
 
 std::uint64_t rumorHash(const Rumor &rumor)
 {
@@ -73,29 +74,39 @@
     }
 }
 
-std::vector<Rumor> RumorStore::takeForSending(std::size_t maxBytes, int maxSends)
+std::uint64_t RumorStore::bitOf(std::string_view peer) const
 {
+    constexpr std::uint64_t kBits = 64;
+    return std::uint64_t{1} << (hash64(peer, this->salt) % kBits);
+}
+
+std::vector<Rumor> RumorStore::takeForSending(std::string_view peer, std::size_t maxBytes,
+                                              int maxSends)
+{
+    const std::uint64_t peerBit = this->bitOf(peer);
     std::vector<Rumor> taken;
-    std::vector<RumorId> sent;
+    std::vector<RumorId> queuedAgain;
     std::size_t bytes = 0;
     for (auto slot = this->queue.begin(); slot != this->queue.end() && bytes < maxBytes;) {
         auto &[key, ids] = *slot;
         while (!ids.empty() && bytes < maxBytes) {
-            const RumorId id = std::move(ids.back());
+            RumorId id = std::move(ids.back());
             ids.pop_back();
             const auto found = this->entries.find(id);
             if (found == this->entries.end() || found->second.sends != key.second) {
                 continue; // Forgotten, or replaced since: the newer one has its own place.
             }
             Entry &entry = found->second;
-            ++entry.sends;
-            bytes += wireBytes(entry.rumor);
-            taken.push_back(entry.rumor);
-            sent.push_back(id);
+            if ((entry.heardFrom & peerBit) == 0) {
+                ++entry.sends;
+                bytes += wireBytes(entry.rumor);
+                taken.push_back(entry.rumor);
+            }
+            queuedAgain.push_back(std::move(id));
         }
         slot = ids.empty() ? this->queue.erase(slot) : std::next(slot);
     }
-    for (const RumorId &id : sent) {
+    for (const RumorId &id : queuedAgain) {
         const int sends = this->entries.at(id).sends;
         if (sends < maxSends) {
             this->queue[{static_cast<int>(id.kind), sends}].push_back(id);
@@ -104,15 +115,20 @@
     return taken;
 }
 
-void RumorStore::onHeardAgain(const Rumor &rumor, int maxSends)
+void RumorStore::onHeard(const Rumor &rumor, std::string_view peer, int maxSends)
 {
     const auto found = this->entries.find(rumor.id);
-    if (found == this->entries.end() || rumor.version < found->second.rumor.version
-        || found->second.sends >= maxSends) {
+    if (found == this->entries.end() || rumor.version < found->second.rumor.version) {
         return;
     }
     Entry &entry = found->second;
-    entry.sends += std::max(1, maxSends / kHearingsToStop);
+    const std::uint64_t before = entry.heardFrom;
+    entry.heardFrom |= this->bitOf(peer);
+    const bool isFirstTeller = before == 0; // From whom this instance may have it.
+    if (isFirstTeller || entry.heardFrom == before || entry.sends >= maxSends) {
+        return;
+    }
+    entry.sends += std::max(1, maxSends / kPeersToStop);
     if (entry.sends < maxSends) {
         this->queue[{static_cast<int>(rumor.id.kind), entry.sends}].push_back(rumor.id);
     }
--- a/libs/membership/tests/GossipTest.cpp
+++ b/libs/membership/tests/GossipTest.cpp
@@ -251,7 +251,7 @@
     store.merge({{RumorKind::Member, "one"}, 2, "x"});
     store.forget(RumorKind::Crash, [](const Rumor &rumor) { return rumor.version < 2; });
     CHECK(store.size() == 2);
-    const std::vector<Rumor> sent = store.takeForSending(10'000, 3);
+    const std::vector<Rumor> sent = store.takeForSending("peer", 10'000, 3);
     CHECK(sent.size() == 2);
     for (const Rumor &rumor : sent) {
         CHECK(rumor.id.name != "old");
@@ -316,3 +316,35 @@
         CHECK(late == 0);
     }
 }
+
+// An instance passes news on in a few rounds at once: they may all go to one peer. The start has
+// used up the repair that would mend it.
+TEST_CASE("three members that have just started all hear of a change within two seconds")
+{
+    constexpr int kNewsRounds = 3;
+    constexpr int kRoundsUntilLate = 10;
+    int late = 0;
+    for (int trial = 0; trial < 100; ++trial) {
+        Net net(3);
+        net.rounds(4 + trial % 10);
+        for (int change = 0; change < trial / 10; ++change) {
+            net.node("e1").tell({{RumorKind::Crash, std::to_string(change)}, 1, "x"});
+            net.rounds(1);
+        }
+        const RumorId id{RumorKind::Record, "change"};
+        Gossip &first = net.node("e" + std::to_string(trial % 3));
+        first.tell({id, 1, "x"});
+        std::vector<Outgoing> underWay;
+        for (int round = 0; round < kNewsRounds; ++round) {
+            for (Outgoing &outgoing : first.round()) {
+                underWay.push_back(std::move(outgoing));
+            }
+        }
+        for (const Outgoing &outgoing : underWay) {
+            net.deliver(first, outgoing);
+        }
+        net.rounds(kRoundsUntilLate);
+        late += net.allKnow(id) ? 0 : 1;
+    }
+    CHECK(late == 0);
+}
