--- a/tools/standins/CuttingRelay.cpp
+++ b/tools/standins/CuttingRelay.cpp
@@ -5,8 +5,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <limits>
 
 namespace basilnotch {
 
@@ -18,14 +20,39 @@
 
 constexpr Duration kCutPoll = milliseconds(20);
 
+constexpr std::size_t kNoReset = std::numeric_limits<std::size_t>::max();
+
+/// What happens to connections; shared by all of a relay.
+struct Trouble
+{
+    std::atomic<bool> cut{false};
+    std::atomic<std::size_t> resetToTarget{kNoReset}; ///< Bytes of a connection, or kNoReset.
+    std::atomic<std::size_t> resetToCaller{kNoReset}; ///< As above.
+
+    std::atomic<std::size_t> &resetAfter(RelayDirection direction)
+    {
+        return direction == RelayDirection::ToTarget ? this->resetToTarget : this->resetToCaller;
+    }
+};
+
+using Socket = std::shared_ptr<tcp::socket>;
+
+/// Without lingering, the other end sees a reset and not an orderly end.
+void reset(tcp::socket &socket)
+{
+    error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
 /// One direction of one connection.
 struct Pipe : std::enable_shared_from_this<Pipe>
 {
-    Pipe(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to,
-         std::shared_ptr<std::atomic<bool>> cut)
+    Pipe(Socket from, Socket to, RelayDirection direction, std::shared_ptr<Trouble> trouble)
         : from(std::move(from))
         , to(std::move(to))
-        , cut(std::move(cut))
+        , direction(direction)
+        , trouble(std::move(trouble))
         , timer(this->from->get_executor())
     { }
 
@@ -40,7 +67,7 @@
 
     void forward(error_code error, std::size_t bytes)
     {
-        if (this->cut->load()) {
+        if (this->trouble->cut) {
             this->timer.expires_after(
                 std::chrono::duration_cast<std::chrono::steady_clock::duration>(kCutPoll));
             this->timer.async_wait([self = this->shared_from_this(), error, bytes](error_code) {
@@ -49,23 +76,42 @@
             return;
         }
         if (error) {
-            error_code ignored;
-            this->to->shutdown(tcp::socket::shutdown_both, ignored);
-            this->from->shutdown(tcp::socket::shutdown_both, ignored);
+            this->passOn(error);
             return;
         }
-        asio::async_write(*this->to, asio::buffer(this->buffer.data(), bytes),
-                          [self = this->shared_from_this()](error_code failed, std::size_t) {
-                              if (!failed) {
-                                  self->read();
-                              }
-                          });
+        const std::size_t most = this->trouble->resetAfter(this->direction);
+        const std::size_t allowed = most - std::min(most, this->passed);
+        const bool resets = bytes > allowed;
+        this->passed += bytes;
+        asio::async_write(
+            *this->to, asio::buffer(this->buffer.data(), std::min(bytes, allowed)),
+            [self = this->shared_from_this(), resets](error_code failed, std::size_t) {
+                if (resets) {
+                    reset(*self->to);
+                    reset(*self->from);
+                } else if (!failed) {
+                    self->read();
+                }
+            });
     }
 
-    std::shared_ptr<tcp::socket> from;
-    std::shared_ptr<tcp::socket> to;
-    std::shared_ptr<std::atomic<bool>> cut;
+    void passOn(error_code error)
+    {
+        if (error == asio::error::connection_reset) {
+            reset(*this->to);
+            return;
+        }
+        error_code ignored;
+        this->to->shutdown(tcp::socket::shutdown_both, ignored);
+        this->from->shutdown(tcp::socket::shutdown_both, ignored);
+    }
+
+    Socket from;
+    Socket to;
+    const RelayDirection direction;
+    std::shared_ptr<Trouble> trouble;
     asio::steady_timer timer;
+    std::size_t passed = 0; ///< Bytes of this direction.
     std::array<char, 16 * 1024> buffer{};
 };
 
@@ -99,7 +145,7 @@
                                     });
     }
 
-    void connect(const std::shared_ptr<tcp::socket> &caller)
+    void connect(const Socket &caller)
     {
         auto callee = std::make_shared<tcp::socket>(this->runtime.context());
         callee->async_connect(toAsio(this->target),
@@ -111,16 +157,22 @@
                                   error_code ignored;
                                   caller->set_option(tcp::no_delay(true), ignored);
                                   callee->set_option(tcp::no_delay(true), ignored);
-                                  std::make_shared<Pipe>(caller, callee, self->cut)->read();
-                                  std::make_shared<Pipe>(callee, caller, self->cut)->read();
+                                  self->join(caller, callee);
                               });
     }
 
+    void join(const Socket &caller, const Socket &callee)
+    {
+        using enum RelayDirection;
+        std::make_shared<Pipe>(caller, callee, ToTarget, this->trouble)->read();
+        std::make_shared<Pipe>(callee, caller, ToCaller, this->trouble)->read();
+    }
+
     FiberRuntime &runtime;
     const Endpoint listen;
     const Endpoint target;
     tcp::acceptor acceptor;
-    std::shared_ptr<std::atomic<bool>> cut = std::make_shared<std::atomic<bool>>(false);
+    std::shared_ptr<Trouble> trouble = std::make_shared<Trouble>();
 };
 
 CuttingRelay::CuttingRelay(FiberRuntime &runtime, Endpoint listen, Endpoint target)
@@ -145,7 +197,12 @@
 
 void CuttingRelay::setCut(bool cut)
 {
-    this->impl->cut->store(cut);
+    this->impl->trouble->cut = cut;
+}
+
+void CuttingRelay::resetAfter(RelayDirection direction, std::optional<std::size_t> bytes)
+{
+    this->impl->trouble->resetAfter(direction) = bytes.value_or(kNoReset);
 }
 
 } // namespace basilnotch
--- a/tools/standins/CuttingRelay.h
+++ b/tools/standins/CuttingRelay.h
@@ -1,13 +1,19 @@
-// A TCP relay that can be cut: the network between two processes of a test.
+// A TCP relay that can be cut or reset connections: the network between two processes of a test.
 #pragma once
 
 #include <runtime/FiberRuntime.h>
 #include <settings/Settings.h>
 
 #include <memory>
+#include <optional>
 
 namespace basilnotch {
 
+enum class RelayDirection {
+    ToTarget,
+    ToCaller,
+};
+
 /// Forwards bytes both ways until cut; a cut holds bytes back and lets no new connection through,
 /// as a lost network does: nobody is told. Thread safe after start.
 class CuttingRelay
@@ -20,6 +26,9 @@
 
     bool start();
     void setCut(bool cut);
+    /// Resets each connection, both ways, when more than `bytes` come in `direction` since it was
+    /// made; what is above them is not forwarded. Nothing ends that.
+    void resetAfter(RelayDirection direction, std::optional<std::size_t> bytes);
 
 private:
     struct Impl;
