--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(shell cat packages.txt)
 JOBS ?= $(shell nproc)
 
-.PHONY: packages build demo test lint format bench bench-decisions capacity recovery soak model regression
+.PHONY: packages build demo test lint format bench bench-decisions capacity recovery soak fault-soak model regression
 
 packages:
 	@missing=""; for package in $(PACKAGES); do dpkg -s $$package >/dev/null 2>&1 || missing="$$missing $$package"; done; \
@@ -56,6 +56,12 @@
 	RC_PARAMS="seed=$$(date +%s) max_success=2000" $(BUILD)/libs/decision/test_decision
 	RC_PARAMS="seed=$$(date +%s) max_success=2000" $(BUILD)/kernel/test_kernel
 
+# Faults from seeds against real processes: docs/SOAK.md.
+SEED ?= 1000
+RUNS ?= 10
+fault-soak: build
+	bash tools/soak.sh $(BUILD) $(SEED) $(RUNS)
+
 # The standard days of one site on the users' bench, beside the committed figures:
 #   make regression BENCH=PROGRAM SITE=FILE
 regression:
--- a/tools/standins/CuttingRelay.cpp
+++ b/tools/standins/CuttingRelay.cpp
@@ -25,10 +25,15 @@
 /// What happens to connections; shared by all of a relay.
 struct Trouble
 {
-    std::atomic<bool> cut{false};
+    std::atomic<bool> cutToTarget{false};
+    std::atomic<bool> cutToCaller{false};
     std::atomic<std::size_t> resetToTarget{kNoReset}; ///< Bytes of a connection, or kNoReset.
     std::atomic<std::size_t> resetToCaller{kNoReset}; ///< As above.
 
+    std::atomic<bool> &cut(RelayDirection direction)
+    {
+        return direction == RelayDirection::ToTarget ? this->cutToTarget : this->cutToCaller;
+    }
     std::atomic<std::size_t> &resetAfter(RelayDirection direction)
     {
         return direction == RelayDirection::ToTarget ? this->resetToTarget : this->resetToCaller;
@@ -67,7 +72,7 @@
 
     void forward(error_code error, std::size_t bytes)
     {
-        if (this->trouble->cut) {
+        if (this->trouble->cut(this->direction)) {
             this->timer.expires_after(
                 std::chrono::duration_cast<std::chrono::steady_clock::duration>(kCutPoll));
             this->timer.async_wait([self = this->shared_from_this(), error, bytes](error_code) {
@@ -197,7 +202,13 @@
 
 void CuttingRelay::setCut(bool cut)
 {
-    this->impl->trouble->cut = cut;
+    this->setCut(RelayDirection::ToTarget, cut);
+    this->setCut(RelayDirection::ToCaller, cut);
+}
+
+void CuttingRelay::setCut(RelayDirection direction, bool cut)
+{
+    this->impl->trouble->cut(direction) = cut;
 }
 
 void CuttingRelay::resetAfter(RelayDirection direction, std::optional<std::size_t> bytes)
--- a/tools/standins/CuttingRelay.h
+++ b/tools/standins/CuttingRelay.h
@@ -26,6 +26,8 @@
 
     bool start();
     void setCut(bool cut);
+    /// Cuts one way only.
+    void setCut(RelayDirection direction, bool cut);
     /// Resets each connection, both ways, when more than `bytes` come in `direction` since it was
     /// made; what is above them is not forwarded. Nothing ends that.
     void resetAfter(RelayDirection direction, std::optional<std::size_t> bytes);
