When all instances stop at once, a third of them answers until it must end

Ruled out: that callers ask for addresses too rarely (the directory had none to give either: it names only instances that are not leaving).

Change: an instance that is leaving and sees nobody else that takes work, and is in the first third by rank, listens until its end. From 2.5 s on it refuses streams, which it could not finish, with a Retry-After, and answers the rest by its end. The others end as soon as they are done, so that they are back sooner. While nobody takes work the directory names the instances that are leaving.

--- a/kernel/src/relay/RelayRequest.cpp
+++ b/kernel/src/relay/RelayRequest.cpp
@@ -19,6 +19,9 @@
 /// A request that crashes upstreams will not be taken for as long as it is remembered.
 constexpr Duration kComeBackAfterCrashes = seconds(30);
 
+/// Others that stopped earlier are back after about a second.
+constexpr Duration kComeBackAfterStop = seconds(1);
+
 /// The target of a route that is divided among services, the same for every attempt with that id.
 const std::string &targetOf(const Route &route, std::string_view key)
 {
@@ -77,6 +80,15 @@
     request.service = targetOf(route, request.caller.requestId);
     const Duration patience = request.caller.timeLeft.value_or(route.timeout);
     request.answerBy = request.arrivedAt + std::min(patience, route.timeout);
+    const bool mustBeShort =
+        request.view->lastStreamsAt && request.arrivedAt >= *request.view->lastStreamsAt;
+    if (mustBeShort) {
+        if (route.kind == RouteKind::Streaming) {
+            return AdmissionProblem{status::kUnavailable, "the instance is about to stop",
+                                    kComeBackAfterStop};
+        }
+        request.answerBy = std::min(request.answerBy, request.view->stopsAt.value());
+    }
     request.fingerprint = digestHex(
         absl::StrCat(http.method, " ", http.target, "\n", request.caller.key, "\n", http.body));
     if (context.poison.isQuarantined(request.fingerprint)) {
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -34,7 +34,11 @@
 /// Instances of a large site whose addresses stand in the store, for those that start and whose
 /// seeds are all gone: most of them may be lost at one time.
 constexpr std::size_t kAnnounced = 12;
-constexpr std::size_t kMostCrashes = 10'000; // Remembered, so that each is told once.
+/// Where all instances stop at once, one of so many goes on until it must end, and the others end
+/// as soon as they are done, so that they are back the sooner.
+constexpr std::size_t kLastResortPart = 3;
+constexpr char kLastResort[] = "last resort"; // What the instances are ranked for.
+constexpr std::size_t kMostCrashes = 10'000;  // Remembered, so that each is told once.
 
 Settings peerPart(const SiteSettings &site)
 {
@@ -372,8 +376,24 @@
     next->rollouts = this->rollouts.rollouts(this->feed.storeTime());
     next->leaving = this->gossip.self().state == MemberState::Leaving;
     next->stopsAt = this->stopsAt;
+    next->lastStreamsAt = this->lastStreamsAt;
     next->bounds = this->settings.bounds;
-    next->liveInstances = 0;
+    this->listMembers(*next);
+    this->seenRumors = this->gossip.store().digest();
+    this->seenRollouts = this->rollouts.revision();
+    this->metrics.counter("members_reachable").set(next->liveInstances);
+    this->metrics.counter("configuration_version")
+        .set(this->catalog ? this->catalog->version() : 0);
+    this->published.set(std::move(next));
+    if (this->listener.viewChanged) {
+        this->listener.viewChanged();
+    }
+}
+
+void SiteControl::listMembers(SiteView &next)
+{
+    std::vector<DirectoryEntry> leaving;
+    std::vector<std::string> leavingNames;
     for (const Member &member : readMembers(this->gossip.store())) {
         const auto seen = this->seenMembers.find(member.name);
         if (seen == this->seenMembers.end() || seen->second != member.state) {
@@ -383,22 +403,23 @@
                              {"state", stateName(member.state)},
                              {"incarnation", member.incarnation}});
         }
+        DirectoryEntry entry{member.name, member.callers, member.peers, member.failureDomain,
+                             member.capacity};
         if (member.state == MemberState::Alive) {
-            ++next->liveInstances;
-            next->directory.push_back(
-                {member.name, member.callers, member.peers, member.failureDomain, member.capacity});
+            next.directory.push_back(std::move(entry));
+        } else if (member.state == MemberState::Leaving) {
+            leaving.push_back(std::move(entry));
+            leavingNames.push_back(member.name);
         }
     }
-    next->liveInstances = std::max(1, next->liveInstances);
-    this->seenRumors = this->gossip.store().digest();
-    this->seenRollouts = this->rollouts.revision();
-    this->metrics.counter("members_reachable").set(next->liveInstances);
-    this->metrics.counter("configuration_version")
-        .set(this->catalog ? this->catalog->version() : 0);
-    this->published.set(std::move(next));
-    if (this->listener.viewChanged) {
-        this->listener.viewChanged();
+    next.liveInstances = std::max(1, static_cast<int>(next.directory.size()));
+    if (!next.directory.empty()) {
+        return;
     }
+    next.isLastResort = next.leaving
+        && rendezvousRank(kLastResort, this->settings.instance, leavingNames)
+            < std::max<std::size_t>(1, leavingNames.size() / kLastResortPart);
+    next.directory = std::move(leaving);
 }
 
 void SiteControl::onAnswer(AnswerReport report)
@@ -415,9 +436,10 @@
         });
 }
 
-void SiteControl::leave(TimePoint deadline)
+void SiteControl::leave(TimePoint lastStreams, TimePoint deadline)
 {
-    this->runtime.post([this, deadline] {
+    this->runtime.post([this, lastStreams, deadline] {
+        this->lastStreamsAt = lastStreams;
         this->stopsAt = deadline;
         this->gossip.leave();
         this->publish();
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -53,8 +53,9 @@
     void onAnswer(AnswerReport report);
     /// An upstream crashed while it ran a request; tells the other instances.
     void onCrash(std::string fingerprint, std::string upstream);
-    /// Says to peers that this instance is about to stop, at `stopsAt` at the latest.
-    void leave(TimePoint stopsAt);
+    /// Says to peers that this instance is about to stop, at `stopsAt` at the latest, and takes no
+    /// streams from `lastStreamsAt` on.
+    void leave(TimePoint lastStreamsAt, TimePoint stopsAt);
     void applySettings(SiteSettings settings);
 
 private:
@@ -86,6 +87,8 @@
     void takeDuties();
     void tick();
     void publish();
+    /// Fills in who takes work, by what peers say.
+    void listMembers(SiteView &next);
 
     SiteSettings settings;
     const SiteAdapter &adapter;
@@ -117,6 +120,7 @@
     bool announced = false;
     bool spreading = false; ///< News are about to be passed on.
     std::optional<TimePoint> stopsAt;
+    std::optional<TimePoint> lastStreamsAt;
     std::thread thread;
 };
 
--- a/kernel/src/site/SiteProcess.cpp
+++ b/kernel/src/site/SiteProcess.cpp
@@ -22,8 +22,10 @@
 /// Callers may have asked for addresses just before and keep an answer for up to three times its
 /// TTL. What comes later than this could not be finished before the kill.
 constexpr Duration kServeOn = milliseconds(2500);
-constexpr Duration kKillReserve = milliseconds(500); ///< Ends by itself before it is killed.
-constexpr int kQuietPolls = 3;                       // The count of requests is told with a delay.
+/// For answers that are given at the very end, and to end before the kill.
+constexpr Duration kKillReserve = milliseconds(500);
+constexpr Duration kAnswerReserve = milliseconds(200); ///< The part of it for the answers.
+constexpr int kQuietPolls = 3; // The count of requests is told with a delay.
 
 sigset_t watchedSignals()
 {
@@ -96,7 +98,8 @@
     {
         const TimePoint deadline =
             this->clock.now() + this->settings.bounds.stopGrace - kKillReserve;
-        this->control->leave(deadline);
+        const Duration serveOn = std::min(kServeOn, deadline - this->clock.now());
+        this->control->leave(this->clock.now() + serveOn, deadline);
         this->traffic->closeAfterAnswers();
         const auto sleepUntilQuiet = [&](TimePoint until) {
             int quiet = 0;
@@ -105,9 +108,12 @@
                 quiet = this->traffic->activeRequests() == 0 ? quiet + 1 : 0;
             }
         };
-        std::this_thread::sleep_for(std::min(kServeOn, deadline - this->clock.now()));
+        std::this_thread::sleep_for(serveOn);
+        while (this->control->view()->isLastResort && this->clock.now() < deadline) {
+            std::this_thread::sleep_for(kDrainPoll);
+        }
         this->traffic->stopAccepting();
-        sleepUntilQuiet(deadline);
+        sleepUntilQuiet(deadline + kAnswerReserve);
     }
 
     SiteSettings settings;
--- a/kernel/src/site/SiteView.h
+++ b/kernel/src/site/SiteView.h
@@ -44,10 +44,15 @@
     std::shared_ptr<const Catalog> catalog; ///< Null until a configuration is known.
     std::shared_ptr<const UpstreamList> upstreams = std::make_shared<UpstreamList>();
     std::map<std::string, ActiveRollout, std::less<>> rollouts; ///< By service.
+    /// Instances that take work; while there is none, those that are leaving.
     std::vector<DirectoryEntry> directory;
     int liveInstances = 1; ///< This one included.
     bool leaving = false;
     std::optional<TimePoint> stopsAt; ///< This process ends then, whatever is under way.
+    /// Streams that come later could not be finished before this process ends.
+    std::optional<TimePoint> lastStreamsAt;
+    /// Nobody takes work any more, and this instance is one of those that go on until they end.
+    bool isLastResort = false;
     SiteBounds bounds;
 
     bool takesWork() const { return this->catalog && !this->leaving; }
