The first requests of a new version come beyond its share

The share that keeps within the accepted exposure brings a handful of answers in the first half.

Change: operators accept a number of requests beyond the share (exposureSlack). Half of them come in the first 0.15 of a roll-out, divided among the instances, only requests without a session, only while a new upstream is ready. A stop that goes on as the last resort is logged.

Left: where most requests have sessions the opening finds few of them.

--- a/kernel/src/relay/RelayContext.h
+++ b/kernel/src/relay/RelayContext.h
@@ -7,6 +7,7 @@
 #include <decision/PoisonGuard.h>
 #include <decision/PromptSpeed.h>
 #include <decision/RetryWindow.h>
+#include <decision/RolloutOpening.h>
 #include <kernel/Site.h>
 #include <runtime/HttpClient.h>
 #include <telemetry/EventLog.h>
@@ -40,6 +41,7 @@
     AnswerCascade &cascade;
     PromptSpeed &promptSpeed;
     std::map<std::string, RetryWindow> &retryWindows; ///< By service.
+    RolloutOpening &opening;
 };
 
 } // namespace basilnotch
--- a/kernel/src/relay/RelayWant.cpp
+++ b/kernel/src/relay/RelayWant.cpp
@@ -40,14 +40,57 @@
     return {.only = rollout.state.toVersion, .share = share, .order = rollout.state.order};
 }
 
+namespace {
+
+bool hasNewOnes(const SiteView &view, const RolloutState &state)
+{
+    const std::vector<UpstreamRef> &ready = view.upstreams->ready(state.service);
+    return std::any_of(ready.begin(), ready.end(), [&](const UpstreamRef &upstream) {
+        return upstream->softwareVersion == state.toVersion;
+    });
+}
+
+/// Lets a request that stays on the old version be one of the first of the new one. `opened`: the
+/// order for which the request has been taken; asked again, it stays with it.
+VersionFilter withOpening(VersionFilter versions, const RelayRequest &request,
+                          const RelayContext &context, std::uint64_t *opened)
+{
+    const std::shared_ptr<const SiteView> view = context.control.view();
+    const auto found = view->rollouts.find(request.service);
+    if (found == view->rollouts.end() || found->second.held || !request.caller.session.empty()
+        || !versions.only.empty()) {
+        return versions;
+    }
+    const RolloutState &state = found->second.state;
+    if (state.phase != RolloutPhase::InProgress) {
+        return versions;
+    }
+    const Duration elapsed = context.clock.now() - found->second.startedAt;
+    if (*opened != state.order) {
+        const bool isTaken = hasNewOnes(*view, state)
+            && context.opening.take(state, elapsed, view->bounds.exposureSlack,
+                                    view->liveInstances);
+        if (!isTaken) {
+            return versions;
+        }
+        *opened = state.order;
+    }
+    const double share = rolloutShare(state, elapsed, view->bounds.exposureShare);
+    return {.only = state.toVersion, .share = share, .order = state.order};
+}
+
+} // namespace
+
 UpstreamWant wantFor(const RelayRequest &request, const std::string &model,
                      std::vector<std::string> avoid, const RelayContext &context)
 {
     UpstreamWant want;
     want.service = request.service;
-    want.versions = [&request, &context] {
+    want.versions = [&request, &context, opened = std::uint64_t{0}]() mutable {
         // Not by the view at admission: the order may have come since.
-        return versionsFor(request, *context.control.view(), context.clock.now());
+        const VersionFilter versions =
+            versionsFor(request, *context.control.view(), context.clock.now());
+        return withOpening(versions, request, context, &opened);
     };
     want.avoid = std::move(avoid);
     want.priority = request.priority;
--- a/kernel/src/relay/SiteTraffic.cpp
+++ b/kernel/src/relay/SiteTraffic.cpp
@@ -89,10 +89,21 @@
                 [this](const PlaceNote &note) { this->exchange.onPromptRead(note); }})
         , poison({kCrashesToQuarantine, kCrashMemory}, clock)
         , cascade({}, clock)
-        , context{control,           adapter.dialect(), clock,         log,
-                  metrics,           this->runtime,     this->client,  this->desk,
-                  this->poison,      this->slowness,    this->cascade, this->promptSpeed,
-                  this->retryWindows}
+        , opening({}, hash64(control.incarnation(), 4))
+        , context{control,
+                  adapter.dialect(),
+                  clock,
+                  log,
+                  metrics,
+                  this->runtime,
+                  this->client,
+                  this->desk,
+                  this->poison,
+                  this->slowness,
+                  this->cascade,
+                  this->promptSpeed,
+                  this->retryWindows,
+                  this->opening}
         , relay(this->context)
         , directory(this->context, hash64(settings.instance, 3))
         , readiness(this->context)
@@ -150,6 +161,7 @@
     AnswerCascade cascade;
     PromptSpeed promptSpeed;
     std::map<std::string, RetryWindow> retryWindows;
+    RolloutOpening opening;
     RelayContext context;
     RelayHandler relay;
     DirectoryHandler directory;
--- a/kernel/src/site/SiteProcess.cpp
+++ b/kernel/src/site/SiteProcess.cpp
@@ -94,6 +94,18 @@
         this->control->applySettings(std::move(parsed.settings));
     }
 
+    /// Goes on while nobody else takes work.
+    void serveAsLastResort(TimePoint until)
+    {
+        if (this->control->view()->isLastResort) {
+            this->log.write(LogKind::State, "last resort",
+                            {{"leftMs", wholeMillis(until - this->clock.now())}});
+        }
+        while (this->control->view()->isLastResort && this->clock.now() < until) {
+            std::this_thread::sleep_for(kDrainPoll);
+        }
+    }
+
     void drain()
     {
         const TimePoint deadline =
@@ -109,9 +121,7 @@
             }
         };
         std::this_thread::sleep_for(serveOn);
-        while (this->control->view()->isLastResort && this->clock.now() < deadline) {
-            std::this_thread::sleep_for(kDrainPoll);
-        }
+        this->serveAsLastResort(deadline);
         this->traffic->stopAccepting();
         sleepUntilQuiet(deadline + kAnswerReserve);
     }
