--- a/kernel/src/relay/RelayRequest.cpp
+++ b/kernel/src/relay/RelayRequest.cpp
@@ -80,14 +80,13 @@
     request.service = targetOf(route, request.caller.requestId);
     const Duration patience = request.caller.timeLeft.value_or(route.timeout);
     request.answerBy = request.arrivedAt + std::min(patience, route.timeout);
-    const bool mustBeShort =
-        request.view->lastStreamsAt && request.arrivedAt >= *request.view->lastStreamsAt;
-    if (mustBeShort) {
+    const std::optional<StopTimes> &stop = request.view->stop;
+    if (stop && request.arrivedAt >= stop->lastStreamsAt) {
         if (route.kind == RouteKind::Streaming) {
             return AdmissionProblem{status::kUnavailable, "the instance is about to stop",
                                     kComeBackAfterStop};
         }
-        request.answerBy = std::min(request.answerBy, request.view->stopsAt.value());
+        request.answerBy = std::min(request.answerBy, stop->endsAt);
     }
     request.fingerprint = digestHex(
         absl::StrCat(http.method, " ", http.target, "\n", request.caller.key, "\n", http.body));
--- a/kernel/src/relay/RelayRun.cpp
+++ b/kernel/src/relay/RelayRun.cpp
@@ -117,8 +117,8 @@
     question.mostOutputTokens = caller.mostOutputTokens;
     question.guessedOutputTokens = caller.guessedOutputTokens;
     question.timeLeft = this->timeLeft();
-    if (const auto stopsAt = this->context.control.view()->stopsAt) {
-        question.timeLeft = std::min(question.timeLeft, *stopsAt - this->context.clock.now());
+    if (const auto stop = this->context.control.view()->stop) {
+        question.timeLeft = std::min(question.timeLeft, stop->endsAt - this->context.clock.now());
     }
     question.confidence = *read.confidence;
     if (const EngineTraits *engine = this->request.engine()) {
--- a/kernel/src/relay/RelayWant.cpp
+++ b/kernel/src/relay/RelayWant.cpp
@@ -18,64 +18,50 @@
     return tokens;
 }
 
-VersionFilter versionsFor(const RelayRequest &request, const SiteView &view, TimePoint now)
+namespace {
+
+/// Whether a request is one of the first of the new version, though it does not fall into its
+/// share. Once it is, it stays so: `opened` is the order for which it has been taken.
+bool isOneOfTheFirst(const SiteView &view, const RolloutState &state, Duration elapsed,
+                     RolloutOpening &opening, std::uint64_t *opened)
+{
+    if (*opened == state.order) {
+        return state.phase == RolloutPhase::InProgress;
+    }
+    const bool isTaken = opening.isOpen(state, elapsed)
+        && view.upstreams->readyOf(state.service, state.toVersion) > 0
+        && opening.take(state, elapsed, view.bounds.exposureSlack, view.liveInstances);
+    if (isTaken) {
+        *opened = state.order;
+    }
+    return isTaken;
+}
+
+/// Which versions of the service the request may use, by the roll-out of `view` if there is one.
+VersionFilter versionsFor(const RelayRequest &request, const SiteView &view, TimePoint now,
+                          RolloutOpening &opening, std::uint64_t *opened)
 {
     const auto found = view.rollouts.find(request.service);
     if (found == view.rollouts.end()) {
         return {};
     }
     const ActiveRollout &rollout = found->second;
-    if (rollout.state.phase == RolloutPhase::Completed) {
-        return {.only = rollout.state.toVersion};
+    const RolloutState &state = rollout.state;
+    if (state.phase == RolloutPhase::Completed) {
+        return {.only = state.toVersion};
     }
     const Duration elapsed = now - rollout.startedAt;
     const CallerHeaders &caller = request.caller;
-    const std::string &key = caller.session.empty() ? caller.requestId : caller.session;
-    const double share = rolloutShare(rollout.state, elapsed, view.bounds.exposureShare);
-    const bool stays = !caller.session.empty() && keepsSessions(rollout.state, elapsed);
-    const bool onNew = !rollout.held && !stays && fallsOnNew(key, share);
+    const bool hasSession = !caller.session.empty();
+    const std::string &key = hasSession ? caller.session : caller.requestId;
+    const double share = rolloutShare(state, elapsed, view.bounds.exposureShare);
+    const bool stays = rollout.held || (hasSession && keepsSessions(state, elapsed));
+    const bool onNew = !stays
+        && (fallsOnNew(key, share)
+            || (!hasSession && isOneOfTheFirst(view, state, elapsed, opening, opened)));
     if (!onNew) {
-        return {.closed = rollout.state.closedVersions()};
-    }
-    return {.only = rollout.state.toVersion, .share = share, .order = rollout.state.order};
-}
-
-namespace {
-
-bool hasNewOnes(const SiteView &view, const RolloutState &state)
-{
-    const std::vector<UpstreamRef> &ready = view.upstreams->ready(state.service);
-    return std::any_of(ready.begin(), ready.end(), [&](const UpstreamRef &upstream) {
-        return upstream->softwareVersion == state.toVersion;
-    });
-}
-
-/// Lets a request that stays on the old version be one of the first of the new one. `opened`: the
-/// order for which the request has been taken; asked again, it stays with it.
-VersionFilter withOpening(VersionFilter versions, const RelayRequest &request,
-                          const RelayContext &context, std::uint64_t *opened)
-{
-    const std::shared_ptr<const SiteView> view = context.control.view();
-    const auto found = view->rollouts.find(request.service);
-    if (found == view->rollouts.end() || found->second.held || !request.caller.session.empty()
-        || !versions.only.empty()) {
-        return versions;
-    }
-    const RolloutState &state = found->second.state;
-    if (state.phase != RolloutPhase::InProgress) {
-        return versions;
-    }
-    const Duration elapsed = context.clock.now() - found->second.startedAt;
-    if (*opened != state.order) {
-        const bool isTaken = hasNewOnes(*view, state)
-            && context.opening.take(state, elapsed, view->bounds.exposureSlack,
-                                    view->liveInstances);
-        if (!isTaken) {
-            return versions;
-        }
-        *opened = state.order;
+        return {.closed = state.closedVersions()};
     }
-    const double share = rolloutShare(state, elapsed, view->bounds.exposureShare);
     return {.only = state.toVersion, .share = share, .order = state.order};
 }
 
@@ -88,9 +74,8 @@
     want.service = request.service;
     want.versions = [&request, &context, opened = std::uint64_t{0}]() mutable {
         // Not by the view at admission: the order may have come since.
-        const VersionFilter versions =
-            versionsFor(request, *context.control.view(), context.clock.now());
-        return withOpening(versions, request, context, &opened);
+        return versionsFor(request, *context.control.view(), context.clock.now(), context.opening,
+                           &opened);
     };
     want.avoid = std::move(avoid);
     want.priority = request.priority;
--- a/kernel/src/site/RolloutDesk.cpp
+++ b/kernel/src/site/RolloutDesk.cpp
@@ -41,13 +41,10 @@
     return closed;
 }
 
-bool hasEnoughNew(const std::vector<UpstreamRef> &ready, const std::string &version)
+bool hasEnoughNew(const UpstreamList &upstreams, const RolloutState &state)
 {
-    const auto newOnes =
-        std::count_if(ready.begin(), ready.end(), [&](const UpstreamRef &upstream) {
-            return upstream->softwareVersion == version;
-        });
-    const auto oldOnes = static_cast<std::ptrdiff_t>(ready.size()) - newOnes;
+    const std::size_t newOnes = upstreams.readyOf(state.service, state.toVersion);
+    const std::size_t oldOnes = upstreams.ready(state.service).size() - newOnes;
     return newOnes > 0 && static_cast<double>(newOnes) >= kEnoughNew * static_cast<double>(oldOnes);
 }
 
@@ -175,10 +172,10 @@
             ++(parts[2] == kNewSide ? newVersion : oldVersion).crashed;
         }
     });
-    for (const UpstreamRef &upstream : upstreams.ready(known.state.service)) {
-        const bool isNew = upstream->softwareVersion == known.state.toVersion;
-        ++(isNew ? newVersion : oldVersion).live;
-    }
+    const std::size_t all = upstreams.ready(known.state.service).size();
+    const std::size_t newOnes = upstreams.readyOf(known.state.service, known.state.toVersion);
+    newVersion.live = static_cast<int>(newOnes);
+    oldVersion.live = static_cast<int>(all - newOnes);
     if (known.crashes.update(oldVersion, newVersion) && !known.held) {
         this->hold(known, "its upstreams crash", {oldVersion.live, oldVersion.crashed},
                    {newVersion.live, newVersion.crashed});
@@ -295,7 +292,7 @@
                 this->move(known, RolloutPhase::Reverted);
             }
         } else if (mayComplete(known.state, elapsed) && !this->counts.isUnheard(service)
-                   && hasEnoughNew(upstreams.ready(service), known.state.toVersion)) {
+                   && hasEnoughNew(upstreams, known.state)) {
             this->move(known, RolloutPhase::Completed);
         }
     }
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -374,9 +374,7 @@
     next->catalog = this->catalog;
     next->upstreams = std::make_shared<const UpstreamList>(this->presence.list());
     next->rollouts = this->rollouts.rollouts(this->feed.storeTime());
-    next->leaving = this->gossip.self().state == MemberState::Leaving;
-    next->stopsAt = this->stopsAt;
-    next->lastStreamsAt = this->lastStreamsAt;
+    next->stop = this->stop;
     next->bounds = this->settings.bounds;
     this->listMembers(*next);
     this->seenRumors = this->gossip.store().digest();
@@ -416,7 +414,7 @@
     if (!next.directory.empty()) {
         return;
     }
-    next.isLastResort = next.leaving
+    next.isLastResort = next.stop
         && rendezvousRank(kLastResort, this->settings.instance, leavingNames)
             < std::max<std::size_t>(1, leavingNames.size() / kLastResortPart);
     next.directory = std::move(leaving);
@@ -436,11 +434,10 @@
         });
 }
 
-void SiteControl::leave(TimePoint lastStreams, TimePoint deadline)
+void SiteControl::leave(StopTimes times)
 {
-    this->runtime.post([this, lastStreams, deadline] {
-        this->lastStreamsAt = lastStreams;
-        this->stopsAt = deadline;
+    this->runtime.post([this, times] {
+        this->stop = times;
         this->gossip.leave();
         this->publish();
         this->peers.gossipRound();
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -53,9 +53,8 @@
     void onAnswer(AnswerReport report);
     /// An upstream crashed while it ran a request; tells the other instances.
     void onCrash(std::string fingerprint, std::string upstream);
-    /// Says to peers that this instance is about to stop, at `stopsAt` at the latest, and takes no
-    /// streams from `lastStreamsAt` on.
-    void leave(TimePoint lastStreamsAt, TimePoint stopsAt);
+    /// Says to peers that this instance is about to stop.
+    void leave(StopTimes times);
     void applySettings(SiteSettings settings);
 
 private:
@@ -118,9 +117,8 @@
     std::map<std::string, MemberState> seenMembers;
     std::map<std::string, TimePoint> knownCrashes; ///< When they were first heard of.
     bool announced = false;
-    bool spreading = false; ///< News are about to be passed on.
-    std::optional<TimePoint> stopsAt;
-    std::optional<TimePoint> lastStreamsAt;
+    bool spreading = false;        ///< News are about to be passed on.
+    std::optional<StopTimes> stop; ///< Set once this instance is leaving.
     std::thread thread;
 };
 
--- a/kernel/src/site/SiteProcess.cpp
+++ b/kernel/src/site/SiteProcess.cpp
@@ -111,7 +111,7 @@
         const TimePoint deadline =
             this->clock.now() + this->settings.bounds.stopGrace - kKillReserve;
         const Duration serveOn = std::min(kServeOn, deadline - this->clock.now());
-        this->control->leave(this->clock.now() + serveOn, deadline);
+        this->control->leave({.lastStreamsAt = this->clock.now() + serveOn, .endsAt = deadline});
         this->traffic->closeAfterAnswers();
         const auto sleepUntilQuiet = [&](TimePoint until) {
             int quiet = 0;
--- a/kernel/src/site/SiteView.h
+++ b/kernel/src/site/SiteView.h
@@ -39,6 +39,13 @@
     int capacity = 0; ///< Thousandths of a processor; 0 when it does not say.
 };
 
+/// When a process that was told to stop does what.
+struct StopTimes
+{
+    TimePoint lastStreamsAt; ///< Streams that come later could not be finished.
+    TimePoint endsAt;        ///< It ends then, whatever is under way.
+};
+
 struct SiteView
 {
     std::shared_ptr<const Catalog> catalog; ///< Null until a configuration is known.
@@ -46,16 +53,13 @@
     std::map<std::string, ActiveRollout, std::less<>> rollouts; ///< By service.
     /// Instances that take work; while there is none, those that are leaving.
     std::vector<DirectoryEntry> directory;
-    int liveInstances = 1; ///< This one included.
-    bool leaving = false;
-    std::optional<TimePoint> stopsAt; ///< This process ends then, whatever is under way.
-    /// Streams that come later could not be finished before this process ends.
-    std::optional<TimePoint> lastStreamsAt;
+    int liveInstances = 1;         ///< This one included.
+    std::optional<StopTimes> stop; ///< Set once this process has been told to stop.
     /// Nobody takes work any more, and this instance is one of those that go on until they end.
     bool isLastResort = false;
     SiteBounds bounds;
 
-    bool takesWork() const { return this->catalog && !this->leaving; }
+    bool takesWork() const { return this->catalog && !this->stop; }
 };
 
 } // namespace basilnotch
--- a/libs/decision/include/decision/RolloutOpening.h
+++ b/libs/decision/include/decision/RolloutOpening.h
@@ -35,6 +35,8 @@
         , instance(instance)
     { }
 
+    /// True while the first requests may still come; cheap, for requests that are not among them.
+    bool isOpen(const RolloutState &state, Duration elapsed) const;
     /// Takes one request for the new version of `state` at `elapsed` since its start; false when
     /// this instance has taken its part of `slack` requests by now, or the opening is over.
     bool take(const RolloutState &state, Duration elapsed, double slack, int liveInstances);
@@ -46,6 +48,7 @@
         int count = 0;
     };
 
+    Duration length(const RolloutState &state) const;
     /// How many requests this instance takes in all.
     int quota(std::uint64_t order, double slack, int liveInstances) const;
 
--- a/libs/decision/src/RolloutOpening.cpp
+++ b/libs/decision/src/RolloutOpening.cpp
@@ -17,12 +17,21 @@
     return static_cast<int>(std::floor(each + place));
 }
 
+Duration RolloutOpening::length(const RolloutState &state) const
+{
+    return fromSeconds(this->options.lasts * toSeconds(state.deadline));
+}
+
+bool RolloutOpening::isOpen(const RolloutState &state, Duration elapsed) const
+{
+    return state.phase == RolloutPhase::InProgress && elapsed >= Duration::zero()
+        && elapsed < this->length(state);
+}
+
 bool RolloutOpening::take(const RolloutState &state, Duration elapsed, double slack,
                           int liveInstances)
 {
-    const double opening = this->options.lasts * toSeconds(state.deadline);
-    if (state.phase != RolloutPhase::InProgress || elapsed < Duration::zero()
-        || toSeconds(elapsed) >= opening) {
+    if (!this->isOpen(state, elapsed)) {
         return false;
     }
     Taken &taken = this->byService[state.service];
@@ -30,7 +39,7 @@
         taken = {state.order, 0};
     }
     const int most = this->quota(state.order, slack, liveInstances);
-    const double due = most * toSeconds(elapsed) / opening;
+    const double due = most * toSeconds(elapsed) / toSeconds(this->length(state));
     if (taken.count >= most || taken.count > due) {
         return false;
     }
--- a/libs/upstreams/include/upstreams/UpstreamList.h
+++ b/libs/upstreams/include/upstreams/UpstreamList.h
@@ -46,6 +46,8 @@
 
     /// Ready upstreams of `service`, in the order of their ids.
     const std::vector<UpstreamRef> &ready(std::string_view service) const;
+    /// How many of them run `softwareVersion`.
+    std::size_t readyOf(std::string_view service, std::string_view softwareVersion) const;
     /// The upstream with that id; null when it has left.
     UpstreamRef find(std::string_view id) const;
     std::size_t size() const { return this->byId.size(); }
--- a/libs/upstreams/src/UpstreamList.cpp
+++ b/libs/upstreams/src/UpstreamList.cpp
@@ -1,6 +1,8 @@
 // Groups upstreams once, when the list is made.
 #include <upstreams/UpstreamList.h>
 
+#include <algorithm>
+
 namespace basilnotch {
 
 UpstreamList::UpstreamList(std::vector<UpstreamRef> upstreams)
@@ -22,6 +24,15 @@
     return found == this->byService.end() ? kNone : found->second;
 }
 
+std::size_t UpstreamList::readyOf(std::string_view service, std::string_view softwareVersion) const
+{
+    const std::vector<UpstreamRef> &all = this->ready(service);
+    const auto count = std::count_if(all.begin(), all.end(), [&](const UpstreamRef &upstream) {
+        return upstream->softwareVersion == softwareVersion;
+    });
+    return static_cast<std::size_t>(count);
+}
+
 UpstreamRef UpstreamList::find(std::string_view id) const
 {
     const auto found = this->byId.find(id);
