Metrics: event loop delay and abandoned requests

The log could not tell a request that was sent after its caller had left from one that left while it waited.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -169,6 +169,15 @@
 }
 
 void RequestForwarder::run()
+{
+    this->forward();
+    if (this->exchange.callerGone()) {
+        this->context.metrics.counter("requests_abandoned_total").add();
+        this->logEvent(LogKind::Failure, "caller gone", "", 0);
+    }
+}
+
+void RequestForwarder::forward()
 {
     this->exchange.onCallerGone([this] {
         this->queueCancelled.set();
@@ -476,9 +485,9 @@
         this->upstreamErrorResponse = std::move(response);
         return AttemptOutcome::UpstreamError;
     }
-    const bool sent = this->exchange.respond(response).ok();
-    this->logEvent(LogKind::Routine, sent ? "request answered" : "caller gone", "",
-                   response.status);
+    if (this->exchange.respond(response).ok()) {
+        this->logEvent(LogKind::Routine, "request answered", "", response.status);
+    }
     return AttemptOutcome::Finished;
 }
 
--- a/kernel/src/relay/RequestForwarder.h
+++ b/kernel/src/relay/RequestForwarder.h
@@ -25,6 +25,8 @@
     void run();
 
 private:
+    void forward();
+
     enum class AttemptOutcome {
         Finished,      ///< The caller has received its response or has disconnected.
         NotSent,       ///< No connection could be established.
--- a/kernel/src/relay/SiteServer.cpp
+++ b/kernel/src/relay/SiteServer.cpp
@@ -145,12 +145,15 @@
 
     void runMaintenance()
     {
+        LatencyHistogram &loopDelay = this->context.metrics.histogram("event_loop_delay_seconds");
         while (true) {
             this->scheduler.dispatchWaiters();
             this->gossip.refresh();
             this->client.closeExpired();
             this->activeRequestCount.store(this->callers.stats().activeRequests);
+            const TimePoint due = this->context.clock.now() + kMaintenanceInterval;
             this->runtime.sleepFor(kMaintenanceInterval);
+            loopDelay.record(this->context.clock.now() - due);
         }
     }
 
