Requests of callers that have left are not handled and not sent

Cause: the close of a caller was only known from a readiness callback of the event loop, which runs after the handler has suspended. A busy instance reads a request from the receive buffer of a connection that is already closed, and a send on a kept upstream connection suspends only after its bytes have left. The same for a request that gets its slot or its connection while the close is still unreported, and for a caller that sent bytes beyond its request: the one callback was used up by them and the close was never noticed. Change: HttpExchange::callerGone looks at the socket; HttpServer does not hand over a request whose caller has left, for all of its users; CallOptions::isStillWanted is asked right before the request is written, by both request paths; the watch goes on behind unread bytes.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -275,6 +275,7 @@
     options.freshConnection = !this->request.route->mayRunAgain();
     options.correlation =
         Correlation{this->context.requestCodec.correlationHeader(), this->request.caller.requestId};
+    options.isStillWanted = [this] { return !this->exchange.callerGone(); };
     ++this->connectAttempts;
     this->executionTracker.onSend();
     const absl::StatusOr<std::unique_ptr<HttpStream>> answer = this->context.client.open(
--- a/kernel/src/relay/SiteHandlers.cpp
+++ b/kernel/src/relay/SiteHandlers.cpp
@@ -30,6 +30,7 @@
     , requests(context.metrics.counter("requests_total"))
     , rejectedRequests(context.metrics.counter("requests_turned_away_total"))
     , malformedRequests(context.metrics.counter("requests_malformed_total"))
+    , abandonedRequests(context.metrics.counter("requests_abandoned_total"))
     , latency(context.metrics.histogram("request_seconds"))
 { }
 
@@ -68,6 +69,15 @@
     }
 }
 
+void RelayHandler::abandoned(const HttpRequest &request)
+{
+    const CallerHeaders caller = this->context.requestCodec.parseCallerHeaders(request);
+    this->requests.add();
+    this->abandonedRequests.add();
+    this->context.log.write(LogKind::Failure, "caller gone",
+                            {{"request", caller.requestId}, {"sends", std::int64_t{0}}});
+}
+
 HttpResponse RelayHandler::malformed(int status, std::string_view text)
 {
     this->malformedRequests.add();
--- a/kernel/src/relay/SiteHandlers.h
+++ b/kernel/src/relay/SiteHandlers.h
@@ -17,6 +17,7 @@
     explicit RelayHandler(RelayContext &context);
     void handle(HttpExchange &exchange) override;
     HttpResponse malformed(int status, std::string_view text) override;
+    void abandoned(const HttpRequest &request) override;
 
 private:
     /// Waits until a starting process has read its configuration, instead of rejecting the request.
@@ -26,6 +27,7 @@
     Counter &requests;
     Counter &rejectedRequests;
     Counter &malformedRequests;
+    Counter &abandonedRequests;
     LatencyHistogram &latency;
 };
 
--- a/kernel/src/traffic/ChatRun.cpp
+++ b/kernel/src/traffic/ChatRun.cpp
@@ -341,6 +341,7 @@
     options.priority = priorityOf(this->request, *this->snapshot->rules);
     options.firstByteTimeout = this->context.settings.timing.firstByte;
     options.gapTimeout = this->context.settings.timing.streamGap;
+    options.isStillWanted = [this] { return !this->exchange.callerGone(); };
     Span hop = this->trace.beginHop("upstream");
     hop.attributes = {{"upstream", upstream.name},
                       {"version", formatModelVersion(this->current.version)}};
@@ -436,6 +437,7 @@
     options.resumeFrom = this->tokens;
     options.firstByteTimeout = this->context.settings.timing.streamGap;
     options.gapTimeout = this->context.settings.timing.streamGap;
+    options.isStillWanted = [this] { return !this->exchange.callerGone(); };
     Span hop = this->trace.beginHop("resume");
     auto call = std::make_unique<ModelCall>(this->context.client, upstream, this->request, options,
                                             hop.context);
--- a/kernel/src/traffic/ModelCall.cpp
+++ b/kernel/src/traffic/ModelCall.cpp
@@ -75,6 +75,7 @@
 {
     CallOptions call;
     call.timeout = this->options.firstByteTimeout;
+    call.isStillWanted = this->options.isStillWanted;
     auto opened = this->client.open(this->upstream.endpoint, this->wire, call, &this->canceller);
     if (!opened.ok()) {
         return opened.status();
--- a/kernel/src/traffic/ModelCall.h
+++ b/kernel/src/traffic/ModelCall.h
@@ -10,6 +10,7 @@
 #include <settings/Settings.h>
 #include <telemetry/Spans.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,6 +35,7 @@
     int resumeFrom = 0; ///< Tokens that the caller has already.
     Duration firstByteTimeout = seconds(60);
     Duration gapTimeout = seconds(20);
+    std::function<bool()> isStillWanted; ///< See CallOptions::isStillWanted.
 };
 
 /// Used by one fiber; cancel may be called by another one of the same thread.
--- a/kernel/src/traffic/ServiceApi.cpp
+++ b/kernel/src/traffic/ServiceApi.cpp
@@ -233,7 +233,8 @@
         done->set();
     });
     const auto launch = [&](UpstreamIndex avoid, std::string_view avoidDomain) {
-        const auto choice = this->choose(call, avoid, avoidDomain);
+        gone = gone || exchange.callerGone();
+        const auto choice = gone ? std::nullopt : this->choose(call, avoid, avoidDomain);
         if (choice) {
             attempts.push_back(std::make_shared<Attempt>());
             attempts.back()->done = done;
--- a/libs/runtime/include/runtime/HttpClient.h
+++ b/libs/runtime/include/runtime/HttpClient.h
@@ -6,6 +6,7 @@
 #include <runtime/HttpMessage.h>
 #include <settings/Settings.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,6 +38,9 @@
     std::optional<Duration> connectTimeout; ///< For connecting; `timeout` when absent.
     bool freshConnection = false; ///< Never use an idle connection, whose peer may have closed it.
     std::optional<Correlation> correlation;
+    /// Asked once, right before the request is written; false ends the call with NothingSent.
+    /// Always true when absent.
+    std::function<bool()> isStillWanted;
 };
 
 struct HttpClientOptions
--- a/libs/runtime/include/runtime/HttpServer.h
+++ b/libs/runtime/include/runtime/HttpServer.h
@@ -32,7 +32,8 @@
     /// Ends a stream so that the caller sees it cut short: closes without the last chunk.
     virtual void abortStream() = 0;
     virtual bool answered() const = 0;
-    /// True when the caller has closed its connection, as far as is known now.
+    /// Whether the caller has closed its connection. Looks at the connection itself, so that it is
+    /// also right when the thread is too busy to report the close.
     virtual bool callerGone() const = 0;
     /// Calls `callback` once, on this thread, when the caller closes its connection during this
     /// exchange. It must not block. Replaces an earlier callback.
@@ -47,6 +48,8 @@
     virtual void handle(HttpExchange &exchange) = 0;
     /// Answer to a message that is not HTTP or breaks a bound; `status` is 400, 413 or 431.
     virtual HttpResponse malformed(int status, std::string_view text) = 0;
+    /// The caller closed its connection before `request` was read; handle() is not called.
+    virtual void abandoned(const HttpRequest &request) { (void)request; }
 };
 
 /// What one caller may send, and how long it may take.
--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -445,7 +445,8 @@
         }
         connection = std::move(*connected);
     }
-    if (canceller && canceller->cancelled()) {
+    const bool isCancelled = canceller && canceller->cancelled();
+    if (isCancelled || (options.isStillWanted && !options.isStillWanted())) {
         return callFailure("connect", peer, asio::error::operation_aborted,
                            SendProgress::NothingSent);
     }
--- a/libs/runtime/src/HttpServer.cpp
+++ b/libs/runtime/src/HttpServer.cpp
@@ -8,10 +8,12 @@
 #include <runtime/FiberRuntime.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <set>
@@ -49,20 +51,33 @@
     return request;
 }
 
-/// State shared with the watch handler, which may complete after the exchange has ended.
+/// A caller with unread bytes keeps its socket readable, so its close is polled for at this
+/// interval.
+constexpr std::chrono::milliseconds kClosePollInterval{100};
+
+/// State shared with the watch handlers, which may complete after the exchange has ended.
 struct CallerWatch
 {
+    explicit CallerWatch(const asio::any_io_executor &executor)
+        : timer(executor)
+    { }
     bool active = true;
     bool armed = false;
     bool gone = false;
     std::function<void()> callback;
+    asio::steady_timer timer;
 };
 
+/// Whether the peer has closed its side or reset the connection, also behind bytes that are unread.
 bool peerHasClosed(tcp::socket &socket)
 {
     char byte = 0;
     const ssize_t got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    if (got > 0) {
+        pollfd state{socket.native_handle(), POLLRDHUP, 0};
+        return ::poll(&state, 1, 0) > 0;
+    }
+    return got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 class Exchange final : public HttpExchange
@@ -78,11 +93,21 @@
         , writeTimeout(writeTimeout)
     { }
 
-    ~Exchange() override { this->watch->active = false; }
+    ~Exchange() override
+    {
+        this->watch->active = false;
+        this->watch->timer.cancel();
+    }
 
     const HttpRequest &request() const override { return this->plain; }
     bool answered() const override { return this->started; }
-    bool callerGone() const override { return this->watch->gone; }
+    bool callerGone() const override
+    {
+        // The event loop may not have reported a close that the socket already shows.
+        tcp::socket &socket = this->stream.socket();
+        this->watch->gone = this->watch->gone || (socket.is_open() && peerHasClosed(socket));
+        return this->watch->gone;
+    }
     bool mayReuse() const { return this->keepAlive && this->complete; }
 
     absl::Status respond(const HttpResponse &response) override
@@ -149,23 +174,33 @@
             return;
         }
         this->watch->armed = true;
-        this->stream.socket().async_wait(
-            tcp::socket::wait_read, [this, watch = this->watch](const error_code &error) {
-                if (!watch->active || error == asio::error::operation_aborted) {
-                    return;
-                }
-                if (error || peerHasClosed(this->stream.socket())) {
-                    watch->gone = true;
-                    if (watch->callback) {
-                        watch->callback();
-                    }
-                }
-            });
+        this->stream.socket().async_wait(tcp::socket::wait_read,
+                                         [this, watch = this->watch](const error_code &error) {
+                                             this->checkClose(error, watch);
+                                         });
     }
 
     bool watching() const { return this->watch->armed && !this->watch->gone; }
 
 private:
+    /// Reports a closed connection, or checks again later. `watch` outlives this exchange.
+    void checkClose(const error_code &error, const std::shared_ptr<CallerWatch> &watch)
+    {
+        if (!watch->active || error == asio::error::operation_aborted) {
+            return;
+        }
+        if (error || peerHasClosed(this->stream.socket())) {
+            watch->gone = true;
+            if (watch->callback) {
+                watch->callback();
+            }
+            return;
+        }
+        watch->timer.expires_after(kClosePollInterval);
+        watch->timer.async_wait(
+            [this, watch](const error_code &expired) { this->checkClose(expired, watch); });
+    }
+
     template <typename Message>
     void fill(Message &message, const HttpHeaders &headers)
     {
@@ -189,7 +224,7 @@
 
     beast::tcp_stream &stream;
     HttpRequest plain;
-    std::shared_ptr<CallerWatch> watch = std::make_shared<CallerWatch>();
+    std::shared_ptr<CallerWatch> watch = std::make_shared<CallerWatch>(this->stream.get_executor());
     bool keepAlive;
     const bool &closing;
     bool started = false;
@@ -321,6 +356,10 @@
     const bool keepAlive = parser.get().keep_alive();
     Exchange exchange(stream, toPlain(parser.release()), keepAlive, this->closingAfterAnswers,
                       this->options.writeTimeout);
+    if (exchange.callerGone()) {
+        this->handler.abandoned(exchange.request());
+        return false;
+    }
     ++this->stats.activeRequests;
     this->handler.handle(exchange);
     --this->stats.activeRequests;
--- a/libs/runtime/tests/HttpTest.cpp
+++ b/libs/runtime/tests/HttpTest.cpp
@@ -27,6 +27,7 @@
 
     void handle(HttpExchange &exchange) override
     {
+        ++this->handledCount;
         const std::string_view path = exchange.request().path();
         if (path == "/wait") {
             FiberEvent left;
@@ -58,7 +59,11 @@
         return {status, {}, std::string(text)};
     }
 
+    void abandoned(const HttpRequest &) override { ++this->abandonedCount; }
+
     bool sawLeaving = false;
+    int handledCount = 0;
+    int abandonedCount = 0;
 
 private:
     FiberRuntime &runtime;
@@ -91,6 +96,25 @@
     }).join();
 }
 
+/// A blocking socket that is connected to the server.
+int connectTo(std::uint16_t port)
+{
+    const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    REQUIRE(::connect(handle, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0);
+    return handle;
+}
+
+void sendAndClose(std::uint16_t port, const std::string &bytes)
+{
+    const int handle = connectTo(port);
+    REQUIRE(::send(handle, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0);
+    ::close(handle);
+}
+
 /// Sends raw bytes and returns what comes back before the connection closes.
 std::string rawExchange(std::uint16_t port, const std::string &bytes)
 {
@@ -363,3 +387,49 @@
         }
     });
 }
+
+// Guards against work for callers that closed their connection before their request was read.
+TEST_CASE("a request whose caller has left already is not handled")
+{
+    withServer(kPort + 20, [](FiberRuntime &runtime, HttpClient &client, TestHandler &handler) {
+        // The server shares this thread, so that it reads the request after the close.
+        sendAndClose(kPort + 20, "GET /echo HTTP/1.1\r\nHost: a\r\n\r\n");
+        sendAndClose(kPort + 20, "GET /echo HTTP/1.1\r\nHost: a\r\n\r\n\r\n");
+        runtime.sleepFor(milliseconds(50));
+        CHECK(handler.handledCount == 0);
+        CHECK(handler.abandonedCount == 2);
+        REQUIRE(client.call({"127.0.0.1", kPort + 20}, {"GET", "/echo", {}, ""}, {}).ok());
+        CHECK(handler.handledCount == 1);
+    });
+}
+
+// Guards against callers whose close goes unnoticed because they sent more than their request.
+TEST_CASE("a caller that leaves behind unread bytes is noticed")
+{
+    withServer(kPort + 21, [](FiberRuntime &runtime, HttpClient &, TestHandler &handler) {
+        const int handle = connectTo(kPort + 21);
+        const std::string bytes = "GET /wait HTTP/1.1\r\nHost: a\r\n\r\nGET /next";
+        REQUIRE(::send(handle, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0);
+        runtime.sleepFor(milliseconds(50));
+        REQUIRE(::send(handle, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0);
+        runtime.sleepFor(milliseconds(50));
+        ::close(handle);
+        runtime.sleepFor(milliseconds(300));
+        CHECK(handler.sawLeaving);
+    });
+}
+
+// Guards against requests that are written although their caller left while the connection was
+// made.
+TEST_CASE("a call that is no longer wanted is not written")
+{
+    withServer(kPort + 22, [](FiberRuntime &, HttpClient &client, TestHandler &handler) {
+        CallOptions options;
+        options.isStillWanted = [] { return false; };
+        const auto answer =
+            client.open({"127.0.0.1", kPort + 22}, {"GET", "/echo", {}, ""}, options);
+        REQUIRE_FALSE(answer.ok());
+        CHECK(sendProgress(answer.status()) == SendProgress::NothingSent);
+        CHECK(handler.handledCount == 0);
+    });
+}
