An upstream whose answer says that it leaves gets no further requests

Cause of the gap: only registrations took an upstream out. An instance that the store does not reach, or an upstream that never reports that it drains, went on getting requests until it was gone. Change: the header marks the upstream's incarnation in UpstreamNotices, which the picker asks for every candidate, also when no other is left and when the registration comes back.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -350,6 +350,12 @@
     if (upstreamHeaders.load) {
         attempt.lease.onLoad(*upstreamHeaders.load);
     }
+    if (upstreamHeaders.leaving) {
+        attempt.lease.onLeaving();
+        this->context.log.write(LogKind::State, "upstream leaving",
+                                {{"upstream", attempt.lease.upstream().id},
+                                 {"request", this->request.caller.requestId}});
+    }
     if (upstreamHeaders.notExecuted) {
         this->executionTracker.onNotExecuted();
         this->lastError = "the upstream turned it away";
--- a/kernel/src/relay/UpstreamScheduler.cpp
+++ b/kernel/src/relay/UpstreamScheduler.cpp
@@ -42,6 +42,11 @@
     this->scheduler.picker.onLoad(this->upstream(), sample);
 }
 
+void UpstreamLease::onLeaving()
+{
+    this->scheduler.picker.onLeaving(this->upstream());
+}
+
 void UpstreamLease::markPrefilled()
 {
     if (!std::exchange(this->isPrefilled, true)) {
--- a/kernel/src/relay/UpstreamScheduler.h
+++ b/kernel/src/relay/UpstreamScheduler.h
@@ -72,6 +72,8 @@
     /// Expected engine time until the prompt has been prefilled, queued prompts included.
     Duration expectedPrefillTime() const { return this->pick.ahead + this->pick.work; }
     void onLoad(const LoadSample &sample);
+    /// The upstream's answer says that it is about to exit.
+    void onLeaving();
     /// Call when the first byte of the response arrives: the prompt has been prefilled.
     void onFirstByte();
     /// Records the result for the upstream's health statistics. Not called when the caller
--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -7,6 +7,7 @@
 #include <decision/PrefillBacklog.h>
 #include <decision/PromptCacheIndex.h>
 #include <decision/UpstreamHealth.h>
+#include <decision/UpstreamNotices.h>
 #include <upstreams/UpstreamList.h>
 
 #include <cstdint>
@@ -102,6 +103,9 @@
     /// health. Returns true if the result has paused the upstream.
     bool onEnded(const UpstreamRecord &upstream, std::optional<AttemptResult> result);
     void onLoad(const UpstreamRecord &upstream, const LoadSample &sample);
+    /// The upstream said in an answer that it is about to exit: its incarnation is not picked
+    /// again.
+    void onLeaving(const UpstreamRecord &upstream) { this->notices.onLeaving(upstream); }
     /// Removes the state of upstreams that are not in `list` and have no request in flight.
     void retain(const UpstreamList &list);
 
@@ -149,7 +153,7 @@
     /// Adds the delay that the prompt of a request causes at an engine.
     void scorePrompt(const State &state, const PickQuery &query, const PromptSources &sources,
                      Scored *item) const;
-    /// Scores the candidates that have not failed the request, into `scored`.
+    /// Scores the candidates that accept requests and have not failed this one, into `scored`.
     void scoreAll(const PickQuery &query);
     /// Returns a random near-best item of `scored`; null if none has room.
     const Scored *pickNearBest(bool healthyOnly);
@@ -159,6 +163,7 @@
     const Clock &clock;
     std::mt19937_64 random;
     std::map<std::string, State, std::less<>> states;
+    UpstreamNotices notices;
     std::vector<Scored> scored;
     std::vector<const Scored *> nearBest;
     const UpstreamRef *fetchSource = nullptr; ///< For the candidates scored last.
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -30,6 +30,7 @@
     , engineEstimates(engineEstimates)
     , clock(clock)
     , random(seed)
+    , notices(clock)
 { }
 
 UpstreamPicker::State &UpstreamPicker::state(const UpstreamRecord &upstream)
@@ -143,7 +144,7 @@
     const PromptSources sources = this->findPromptSources(query);
     this->fetchSource = sources.latest;
     for (const UpstreamRef &candidate : query.candidates) {
-        if (!contains(query.avoid, candidate->id)) {
+        if (!contains(query.avoid, candidate->id) && this->notices.acceptsRequests(*candidate)) {
             this->scored.push_back(this->score(candidate, query, sources));
         }
     }
--- a/libs/decision/tests/PickerTest.cpp
+++ b/libs/decision/tests/PickerTest.cpp
@@ -183,3 +183,22 @@
     // The old retries have left the window, so the slack is available again.
     CHECK(budget.tryAcquire(10));
 }
+
+// Guards against requests to an upstream that said in an answer that it leaves, also when no other
+// upstream is left or its registration still says that it is ready.
+TEST_CASE("an upstream that said it is leaving is not picked again until it has restarted")
+{
+    PickerFixture fixture(2, 4);
+    fixture.picker.onLeaving(*fixture.upstreams[0]);
+    for (int count = 0; count < 20; ++count) {
+        CHECK(fixture.picker.pick(fixture.query()).upstream->id == "u1");
+    }
+    fixture.picker.onLeaving(*fixture.upstreams[1]);
+    fixture.picker.retain(UpstreamList()); // The registrations lapse and come back.
+    fixture.clock.advance(seconds(60));
+    CHECK(fixture.picker.pick(fixture.query()).problem == PickProblem::NoUpstream);
+    UpstreamRecord restarted = *fixture.upstreams[0];
+    restarted.bornMs = 1;
+    fixture.upstreams[0] = std::make_shared<const UpstreamRecord>(restarted);
+    CHECK(fixture.picker.pick(fixture.query()).upstream->id == "u0");
+}
