An upstream that asks for a pause gets nothing until its end

Cause of the gap: a refusal said nothing to the picker, and the header was not read. Change: UpstreamNotices keeps the end of the pause for the upstream's incarnation (five minutes at most, so that a faulty upstream comes back); the picker passes over it, also when all have asked for one. A request that could only run after its own wait is refused at once with the time that is left.

--- a/kernel/include/kernel/Site.h
+++ b/kernel/include/kernel/Site.h
@@ -114,6 +114,7 @@
     std::optional<LoadSample> load;
     std::optional<int> confidence; ///< 0 to 100: the model's own rating of its answer.
     bool leaving = false; ///< The upstream is about to exit and must get no further requests.
+    std::optional<Duration> pause; ///< The upstream wants no further requests for so long.
 };
 
 /// A request for the addresses of instances.
--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -356,6 +356,13 @@
                                 {{"upstream", attempt.lease.upstream().id},
                                  {"request", this->request.caller.requestId}});
     }
+    if (upstreamHeaders.pause) {
+        attempt.lease.onPauseRequested(*upstreamHeaders.pause);
+        this->context.log.write(LogKind::State, "upstream paused",
+                                {{"upstream", attempt.lease.upstream().id},
+                                 {"request", this->request.caller.requestId},
+                                 {"pauseMs", wholeMillis(*upstreamHeaders.pause)}});
+    }
     if (upstreamHeaders.notExecuted) {
         this->executionTracker.onNotExecuted();
         this->lastError = "the upstream turned it away";
--- a/kernel/src/relay/UpstreamScheduler.cpp
+++ b/kernel/src/relay/UpstreamScheduler.cpp
@@ -47,6 +47,11 @@
     this->scheduler.picker.onLeaving(this->upstream());
 }
 
+void UpstreamLease::onPauseRequested(Duration pause)
+{
+    this->scheduler.picker.onPauseRequested(this->upstream(), pause);
+}
+
 void UpstreamLease::markPrefilled()
 {
     if (!std::exchange(this->isPrefilled, true)) {
@@ -153,6 +158,9 @@
     if (picked.problem == PickProblem::NoUpstream) {
         return {nullptr, AcquireError::NoUpstream, {}};
     }
+    if (picked.problem == PickProblem::AllPaused && picked.pauseLeft >= maxWait) {
+        return {nullptr, AcquireError::TooBusy, picked.pauseLeft};
+    }
     const std::size_t waitersAhead = this->countWaitersAhead(requirements);
     const QueueWaitEstimator &estimator = this->waitEstimator(requirements.service);
     if (estimator.expectedWait(waitersAhead).value_or(Duration::zero()) > maxWait
--- a/kernel/src/relay/UpstreamScheduler.h
+++ b/kernel/src/relay/UpstreamScheduler.h
@@ -74,6 +74,8 @@
     void onLoad(const LoadSample &sample);
     /// The upstream's answer says that it is about to exit.
     void onLeaving();
+    /// The upstream's answer says that it wants no further requests for `pause`.
+    void onPauseRequested(Duration pause);
     /// Call when the first byte of the response arrives: the prompt has been prefilled.
     void onFirstByte();
     /// Records the result for the upstream's health statistics. Not called when the caller
--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -67,6 +67,7 @@
     None,
     NoUpstream, ///< No candidate is left for this request.
     AllFull,    ///< All usable candidates are full.
+    AllPaused,  ///< All usable candidates have asked for a pause; see Pick::pauseLeft.
 };
 
 struct Pick
@@ -76,6 +77,7 @@
     Duration work{};       ///< Engine time of its prefill there, including a transfer.
     Duration ahead{};      ///< Engine time of the prefills queued before it.
     UpstreamRef fetchFrom; ///< Engine to fetch the shared prompt's cache from; null if none.
+    Duration pauseLeft{};  ///< With AllPaused: until the first candidate accepts requests again.
 };
 
 /// Engine state that instances estimate from their traffic, beyond the engines' reports. Not
@@ -106,6 +108,11 @@
     /// The upstream said in an answer that it is about to exit: its incarnation is not picked
     /// again.
     void onLeaving(const UpstreamRecord &upstream) { this->notices.onLeaving(upstream); }
+    /// The upstream has turned a request away and wants no other for `pause`.
+    void onPauseRequested(const UpstreamRecord &upstream, Duration pause)
+    {
+        this->notices.onPauseRequested(upstream, pause);
+    }
     /// Removes the state of upstreams that are not in `list` and have no request in flight.
     void retain(const UpstreamList &list);
 
@@ -155,6 +162,8 @@
                      Scored *item) const;
     /// Scores the candidates that accept requests and have not failed this one, into `scored`.
     void scoreAll(const PickQuery &query);
+    /// The result of a pick for which `scored` is empty.
+    Pick explainNone(const PickQuery &query) const;
     /// Returns a random near-best item of `scored`; null if none has room.
     const Scored *pickNearBest(bool healthyOnly);
 
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -171,21 +171,35 @@
                                   : this->nearBest[this->random() % this->nearBest.size()];
 }
 
+Pick UpstreamPicker::explainNone(const PickQuery &query) const
+{
+    Pick none;
+    for (const UpstreamRef &candidate : query.candidates) {
+        const std::optional<Duration> left = this->notices.pauseLeft(*candidate);
+        if (left && !contains(query.avoid, candidate->id)) {
+            const bool isFirst = none.problem != PickProblem::AllPaused;
+            none.pauseLeft = isFirst ? *left : std::min(none.pauseLeft, *left);
+            none.problem = PickProblem::AllPaused;
+        }
+    }
+    return none;
+}
+
 Pick UpstreamPicker::pick(const PickQuery &query)
 {
     this->scoreAll(query);
     if (this->scored.empty()) {
-        return {nullptr, PickProblem::NoUpstream, {}, {}, nullptr};
+        return this->explainNone(query);
     }
     const bool anyHealthy = std::any_of(this->scored.begin(), this->scored.end(),
                                         [](const Scored &item) { return item.isHealthy; });
     // If all appear unhealthy, a fault on this instance's side is more likely, so all are used.
     const Scored *picked = this->pickNearBest(anyHealthy);
     if (!picked) {
-        return {nullptr, PickProblem::AllFull, {}, {}, nullptr};
+        return {nullptr, PickProblem::AllFull, {}, {}, nullptr, {}};
     }
     const UpstreamRef source = picked->fetches ? *this->fetchSource : nullptr;
-    return {*picked->upstream, PickProblem::None, picked->work, picked->ahead, source};
+    return {*picked->upstream, PickProblem::None, picked->work, picked->ahead, source, {}};
 }
 
 void UpstreamPicker::onSent(const UpstreamRecord &upstream, Duration work)
--- a/libs/decision/tests/PickerTest.cpp
+++ b/libs/decision/tests/PickerTest.cpp
@@ -202,3 +202,29 @@
     fixture.upstreams[0] = std::make_shared<const UpstreamRecord>(restarted);
     CHECK(fixture.picker.pick(fixture.query()).upstream->id == "u0");
 }
+
+// Guards against requests to an upstream within the pause that it asked for, also when all have.
+TEST_CASE("an upstream that asked for a pause gets nothing until the pause is over")
+{
+    PickerFixture fixture(2, 4);
+    fixture.picker.onPauseRequested(*fixture.upstreams[0], seconds(3));
+    fixture.clock.advance(seconds(1));
+    CHECK(fixture.picker.pick(fixture.query()).upstream->id == "u1");
+    fixture.picker.onPauseRequested(*fixture.upstreams[1], seconds(10));
+    fixture.picker.onPauseRequested(*fixture.upstreams[0], seconds(1)); // Does not shorten it.
+    const Pick none = fixture.picker.pick(fixture.query());
+    CHECK(none.problem == PickProblem::AllPaused);
+    CHECK(none.pauseLeft == seconds(2));
+    fixture.clock.advance(seconds(2));
+    CHECK(fixture.picker.pick(fixture.query()).upstream->id == "u0");
+    fixture.picker.onLeaving(*fixture.upstreams[0]);
+    CHECK(fixture.picker.pick(fixture.query()).pauseLeft == seconds(8));
+}
+
+TEST_CASE("a pause has a bound, so that a faulty upstream comes back")
+{
+    PickerFixture fixture(1, 4);
+    fixture.picker.onPauseRequested(*fixture.upstreams[0], std::chrono::hours(1000));
+    fixture.clock.advance(UpstreamNotices::kMaxPause);
+    CHECK(fixture.picker.pick(fixture.query()).upstream);
+}
