Changes that come together share one view

Operators of real machines saw the same from outside: proper requests turned away as if wrong, requests to a back end that had said it was leaving. Cause, as far as shown: each record that a peer tells became a view of its own. A large record was asked for from the same twelve members in the same order, each 400 ms when it is away. Change: a view is published 20 ms after the one before at the earliest; members are asked in a new order each time. Evidence: 300 registrations and a configuration through a peer: 300 views and more before by construction, under 100 now (site_upstreams).

--- a/kernel/src/site/RecordGossip.cpp
+++ b/kernel/src/site/RecordGossip.cpp
@@ -2,6 +2,7 @@
 // value has to be fetched.
 #include "RecordGossip.h"
 
+#include <base/Hash.h>
 #include <runtime/FiberRuntime.h>
 
 #include <absl/strings/numbers.h>
@@ -16,9 +17,9 @@
 constexpr char kHasValue = 'v';
 constexpr char kDeleted = 'd';
 constexpr char kValueOmitted = 'f';
-constexpr char kRumorNameSeparator = '\x1f'; // Between table and record name; neither contains it.
-constexpr std::size_t kMaxInlineBytes = 700; // A gossip message has room for more than one.
-constexpr int kMaxFetchAttempts = 12;        // Few peers may have a new record yet.
+constexpr char kRumorNameSeparator = '\x1f';  // Between table and record name; neither contains it.
+constexpr std::size_t kMaxInlineBytes = 700;  // A gossip message has room for more than one.
+constexpr std::size_t kMaxFetchAttempts = 12; // Few peers may have a new record yet.
 constexpr Duration kFetchTimeout = milliseconds(400);
 
 std::string rumorName(const RecordKey &key)
@@ -50,6 +51,7 @@
     , peers(peers)
     , replica(replica)
     , onRecord(std::move(onRecord))
+    , random(hash64(gossip.self().incarnation))
 {
     this->peers.setHandler(PeerMessageKind::FetchRecord,
                            [this](std::string name) { return this->handleFetch(name); });
@@ -108,11 +110,12 @@
         std::erase_if(members, [this](const Member &member) {
             return member.name == this->gossip.self().name || member.state == MemberState::Unknown;
         });
-        for (int number = 0; number < kMaxFetchAttempts && !members.empty(); ++number) {
-            const std::size_t which = (std::hash<std::string>()(this->gossip.self().name)
-                                       + static_cast<std::size_t>(number))
-                % members.size();
-            const auto reply = this->peers.call(members[which].peers, PeerMessageKind::FetchRecord,
+        // A new order each time: members that are away or have not got the record either would
+        // otherwise be asked again and again.
+        std::shuffle(members.begin(), members.end(), this->random);
+        members.resize(std::min(members.size(), kMaxFetchAttempts));
+        for (const Member &member : members) {
+            const auto reply = this->peers.call(member.peers, PeerMessageKind::FetchRecord,
                                                 rumorName(key), kFetchTimeout);
             const std::size_t line = reply.ok() ? reply->find('\n') : std::string::npos;
             if (line == std::string::npos) {
--- a/kernel/src/site/RecordGossip.h
+++ b/kernel/src/site/RecordGossip.h
@@ -9,6 +9,7 @@
 #include <replica/Replica.h>
 
 #include <functional>
+#include <random>
 #include <set>
 
 namespace basilnotch {
@@ -37,6 +38,7 @@
     PeerMessenger &peers;
     const Replica &replica;
     const RecordHandler onRecord;
+    std::mt19937_64 random;
     std::set<RecordKey> fetching;
     std::uint64_t processedDigest = 0; ///< Digest of the gossip that was processed last.
 };
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -23,6 +23,9 @@
 /// A few rounds reach every instance well within the time limit for a change to take effect.
 constexpr Duration kGossipInterval = milliseconds(250);
 constexpr Duration kTickInterval = milliseconds(200);
+/// Least time between two views. Both threads pay for each view as much as for the whole site, so
+/// changes that arrive together share one.
+constexpr Duration kPublishInterval = milliseconds(20);
 /// Members that get a change at once; each of them passes it on the same way.
 constexpr int kGossipFanOut = 3;
 constexpr Duration kGossipBatchDelay = milliseconds(10); // Batches changes that arrive together.
@@ -260,7 +263,7 @@
         this->applyRecord(record, from);
         this->recordGossip.announce(record);
     }
-    this->publish();
+    this->publishSoon();
     this->scheduleGossip();
 }
 
@@ -338,7 +341,7 @@
     this->recordGossip.processRumors();
     this->processCrashRumors();
     if (this->gossip.store().digest() != this->publishedGossipDigest) {
-        this->publish();
+        this->publishSoon();
     }
 }
 
@@ -383,12 +386,27 @@
     this->updateAssignments();
     const bool expired = this->presence.expire();
     if (expired || this->rollouts.revision() != this->publishedRolloutRevision) {
-        this->publish();
+        this->publishSoon();
     }
 }
 
+void SiteControl::publishSoon()
+{
+    if (std::exchange(this->publishScheduled, true)) {
+        return;
+    }
+    this->runtime.spawn([this] {
+        const Duration pause = this->publishedAt + kPublishInterval - this->clock.now();
+        this->runtime.sleepFor(std::max(Duration::zero(), pause));
+        this->publish();
+    });
+}
+
 void SiteControl::publish()
 {
+    this->publishScheduled = false;
+    this->publishedAt = this->clock.now();
+    this->metrics.counter("views_published_total").add();
     auto next = std::make_shared<SiteView>();
     next->catalog = this->catalog;
     next->upstreams = std::make_shared<const UpstreamList>(this->presence.list());
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -102,7 +102,10 @@
     /// that can reach the store as candidates.
     void updateAssignments();
     void tick();
+    /// Publishes a view now.
     void publish();
+    /// Publishes a view with the changes made so far as soon as kPublishInterval allows.
+    void publishSoon();
     /// Sets the members of `next` that depend on the state of the other instances.
     void fillDirectory(SiteView &next);
 
@@ -136,6 +139,8 @@
     std::map<std::string, TimePoint> knownCrashes; ///< By rumor name; when first seen.
     bool announced = false;            ///< The address is in the store or is being written.
     bool gossipScheduled = false;      ///< A round of gossip is about to start.
+    bool publishScheduled = false;     ///< A view is about to be published.
+    TimePoint publishedAt{};           ///< Of the latest view.
     std::optional<ShutdownTimes> stop; ///< Set once this instance is leaving.
     std::thread thread;
 };
