An answer without an id on a kept connection answers no request

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran, or these ran at a second server. Here: an answer that is not a success was taken for ours without an id, also on a connection that had carried another request. Orders were safe: they use a connection of their own. Change: on a connection that has carried a request, only an answer with the request's id is its answer.

--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -288,8 +288,7 @@
     {
         const std::string_view found = this->plainHeaders.find(correlation.header);
         if (found.empty()) {
-            const bool success = this->status() / 100 == 2;
-            return !success || !this->connection->reused;
+            return !this->connection->reused;
         }
         return found == correlation.value;
     }
