An answer without a signature is not passed on

Operators of real machines saw proper requests turned away with a 3xx or 4xx of the system's own (DENIED), in the part of their record that we have always reads. Cause here: any answer below 500 was passed on as it came. Bytes that no server signed - an extra answer without an id on a kept connection, which only reads and resumable streams use, or whatever listens at an address that changed hands - reached the caller as if they were this instance's own, a 2xx as well (MIXED). Change: an answer below 500 without the upstream's signature counts as a broken answer: sent again where the route permits it, else 502. site_stray failed before for 200, 302, 400, 404 and 431 (five of five). Only suspected to be what the operators saw: their record names neither the status nor what the server sent.

--- a/kernel/include/kernel/Site.h
+++ b/kernel/include/kernel/Site.h
@@ -113,7 +113,8 @@
     bool notExecuted = false; ///< The upstream has not run the request and will not run it.
     std::optional<LoadSample> load;
     std::optional<int> confidence; ///< 0 to 100: the model's own rating of its answer.
-    bool leaving = false; ///< The upstream is about to exit and must get no further requests.
+    bool isSigned = false; ///< The answer bears the signature that upstreams give to theirs.
+    bool leaving = false;  ///< The upstream is about to exit and must get no further requests.
     std::optional<Duration> pause; ///< The upstream wants no further requests for so long.
 };
 
--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -446,6 +446,13 @@
         this->lastError = "the upstream turned it away";
         return AttemptOutcome::NotExecuted;
     }
+    if (!upstreamHeaders.isSigned && answer.status() < status::kInternalError) {
+        // Whatever sent it, the caller would take it for this instance's own.
+        this->lastError = "an answer without signature";
+        attempt.lease.setResult(AttemptResult::Failed);
+        this->reportAnswer(attempt, AnswerOutcome::Bad, this->context.clock.now() - attempt.sentAt);
+        return AttemptOutcome::MaybeExecuted;
+    }
     const bool isStream = answer.status() == status::kOk && isEventStream(answer.headers());
     if (this->stream.hasStarted() && !isStream) {
         this->lastError = "the stream could not go on";
