Gossip messages have room for a burst of registrations

Cause: a message took 1,200 bytes of rumors, four registrations. Rumors of one kind go in the order of how often they were sent, so that a configuration or a leaving that comes behind the 140 registrations of a new version waits for all of them at every hop. Change: 16,000 bytes. The number of sends of a rumor, and so the bytes, stay as they were; the fleet tests of bytes hold.

--- a/libs/membership/include/membership/Gossip.h
+++ b/libs/membership/include/membership/Gossip.h
@@ -18,7 +18,9 @@
 
 struct GossipOptions
 {
-    std::size_t messageBytes = 1200;      ///< Rumors of one message; a repair may be larger.
+    /// Rumors of one message; a repair may be larger. Room for the registrations of a whole new
+    /// version: a change that comes behind them has to wait for the next message.
+    std::size_t messageBytes = 16'000;
     int sendFactor = 3;                   ///< A rumor is sent sendFactor * log2(members) times.
     int indirectProbes = 2;               ///< Members asked to try one that did not answer.
     Duration repairInterval = seconds(5); ///< At most one repair is started in this time.
--- a/libs/membership/tests/GossipTest.cpp
+++ b/libs/membership/tests/GossipTest.cpp
@@ -348,3 +348,31 @@
     }
     CHECK(late == 0);
 }
+
+// Guards against a configuration that is late at some instances because the registrations of a new
+// version, which came just before it, are passed on first (CONFIG; DRAIN for an upstream's
+// leaving).
+TEST_CASE("a change beside hundreds of others reaches every instance within two seconds")
+{
+    constexpr int kRoundsUntilLate = 10;
+    constexpr int kRegistrations = 280;
+    Net net(95, true);
+    net.rounds(50);
+    int late = 0;
+    for (int trial = 0; trial < 5; ++trial) {
+        for (int number = 0; number < kRegistrations; ++number) {
+            const std::string name = "upstream" + std::to_string(number);
+            net.nodes[static_cast<std::size_t>(number % 8)]->tell(
+                {{RumorKind::Record, name},
+                 static_cast<std::uint64_t>(trial) + 1,
+                 std::string(250, 'x')});
+        }
+        net.rounds(2);
+        const RumorId id{RumorKind::Record, "configuration" + std::to_string(trial)};
+        net.nodes[static_cast<std::size_t>(trial)]->tell({id, 1, "f"});
+        net.rounds(kRoundsUntilLate);
+        late += net.allKnow(id) ? 0 : 1;
+        net.rounds(50);
+    }
+    CHECK(late == 0);
+}
