Tests reserve their ports for as long as they use them

Cause: each group of site tests had 300 ports, three worlds of 100, but `reset` has five worlds and `upstreams` seven, so that their later worlds took the ports of the next groups. site_stray, the next one, had begun while site_reset was at its fourth world. The groups had outgrown their ports once before (failure tests, 500 each); a wider spacing would fail the same way.

PortBlock holds a listener on the first port of each group of fifty, so that no other process takes the group while it lives; the environment's PORT_BASE only says where to look first.

--- a/tests/failure/Cluster.cpp
+++ b/tests/failure/Cluster.cpp
@@ -34,19 +34,9 @@
 constexpr int kPlatformRelays = 40;
 constexpr int kPeerRelays = 50;
 constexpr int kPortsPerCluster = 60;
+constexpr int kFirstPort = 19000;
 constexpr char kOperatorKey[] = "operator-key";
 
-int nextBase()
-{
-    static int base = [] {
-        const char *given = std::getenv("PORT_BASE");
-        return given ? std::atoi(given) : 19000;
-    }();
-    const int mine = base;
-    base += kPortsPerCluster;
-    return mine;
-}
-
 std::string domainOf(int number)
 {
     return std::string(1, static_cast<char>('a' + (number - 1) % 3));
@@ -75,9 +65,9 @@
 Cluster::Cluster(FiberRuntime &runtime, ClusterOptions given)
     : runtime(runtime)
     , options(std::move(given))
-    , base(nextBase())
+    , ports(kPortsPerCluster, kFirstPort)
     , folder(std::filesystem::temp_directory_path()
-             / absl::StrCat("basilnotch-test-", ::getpid(), "-", this->base))
+             / absl::StrCat("basilnotch-test-", ::getpid(), "-", this->ports.at(kPlatform)))
     , client(std::make_unique<HttpClient>(runtime))
 {
     std::filesystem::create_directories(this->folder);
@@ -176,7 +166,7 @@
 
 Endpoint Cluster::at(int offset) const
 {
-    return {"127.0.0.1", static_cast<std::uint16_t>(this->base + offset)};
+    return {"127.0.0.1", this->ports.at(offset)};
 }
 
 std::string Cluster::settingsFile(int number) const
--- a/tests/failure/Cluster.h
+++ b/tests/failure/Cluster.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "../support/InFiber.h"
+#include "../support/PortBlock.h"
 
 #include <CallerClient.h>
 #include <CuttingRelay.h>
@@ -92,7 +93,7 @@
 
     FiberRuntime &runtime;
     ClusterOptions options;
-    int base = 0;
+    const PortBlock ports;
     std::string folder;
     std::map<std::string, Process> processes;
     std::unique_ptr<HttpClient> client;
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -13,8 +13,7 @@
   local seed=$1
   local folder="$here/target/soak/$seed"
   mkdir -p "$folder"
-  # Below the range that the system takes for outgoing connections; used again long after the end.
-  if PORT_BASE=$((30000 + seed % 26 * 100)) SOAK_SEED=$seed SOAK_LOGS=$folder \
+  if SOAK_SEED=$seed SOAK_LOGS=$folder \
     timeout 180 "$build/platform/test_soak" "[soak]" >"$folder/output" 2>&1; then
     grep '^seed.*calls' "$folder/output"
     rm -r "$folder"
