A traffic thread that falls behind says so, with what it did

A line "traffic thread behind" gives the delay, the active and the waiting requests and the comparisons of upstreams since the last timer; upstream_picks_total counts these. Needed to tell apart: many picks for waiting requests, many changes of the site's state, or the other thread on the same processor. No decision changed.

--- a/kernel/src/relay/SiteServer.cpp
+++ b/kernel/src/relay/SiteServer.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr Duration kMaintenanceInterval = milliseconds(50);
+/// An event loop that is this late delays answers, and notices callers that leave too late.
+constexpr Duration kOverloadDelay = milliseconds(100);
 /// Time to receive a body after its header.
 constexpr Duration kBodyReadTimeout = seconds(5);
 /// Callers may reuse a connection for up to four fifths of the idle timeout; this margin is added
@@ -151,14 +153,26 @@
     void runMaintenance()
     {
         LatencyHistogram &loopDelay = this->context.metrics.histogram("event_loop_delay_seconds");
+        Counter &picks = this->context.metrics.counter("upstream_picks_total");
         while (true) {
+            picks.set(this->scheduler.pickCount());
             this->scheduler.dispatchWaiters();
             this->gossip.refresh();
             this->client.closeExpired();
             this->activeRequestCount.store(this->callers.stats().activeRequests);
             const TimePoint due = this->context.clock.now() + kMaintenanceInterval;
+            const std::int64_t picksBefore = this->scheduler.pickCount();
             this->runtime.sleepFor(kMaintenanceInterval);
-            loopDelay.record(this->context.clock.now() - due);
+            const Duration delay = this->context.clock.now() - due;
+            loopDelay.record(delay);
+            if (delay >= kOverloadDelay) {
+                this->context.log.write(
+                    LogKind::State, "traffic thread behind",
+                    {{"delayMs", wholeMillis(delay)},
+                     {"active", std::int64_t{this->callers.stats().activeRequests}},
+                     {"waiting", static_cast<std::int64_t>(this->scheduler.waiterCount())},
+                     {"picks", this->scheduler.pickCount() - picksBefore}});
+            }
         }
     }
 
--- a/kernel/src/relay/UpstreamScheduler.cpp
+++ b/kernel/src/relay/UpstreamScheduler.cpp
@@ -89,6 +89,7 @@
 
 Pick UpstreamScheduler::pick(const UpstreamRequirements &requirements)
 {
+    ++this->picks;
     const std::vector<UpstreamRef> &ready = this->list->ready(requirements.service);
     const VersionFilter versions = requirements.versions();
     this->candidates.clear();
--- a/kernel/src/relay/UpstreamScheduler.h
+++ b/kernel/src/relay/UpstreamScheduler.h
@@ -6,6 +6,7 @@
 #include <runtime/FiberEvent.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
@@ -133,6 +134,9 @@
                           const FiberEvent &cancelled);
     /// Assigns free slots to waiting requests.
     void dispatchWaiters();
+    /// Times that all upstreams of a service have been compared for one request.
+    std::int64_t pickCount() const { return this->picks; }
+    std::size_t waiterCount() const { return this->waiters.size(); }
 
 private:
     friend class UpstreamLease;
@@ -157,6 +161,7 @@
     const UpstreamSchedulerListener listener;
     std::shared_ptr<const UpstreamList> list = std::make_shared<UpstreamList>();
     int liveInstances = 1;
+    std::int64_t picks = 0;
     std::list<Waiter *> waiters;         ///< By priority, most urgent first, then by arrival.
     std::vector<UpstreamRef> candidates; ///< Scratch buffer of pick().
     std::vector<UpstreamRef> canaries;   ///< Scratch buffer of pick().
