A freed slot costs one pick for requests with the same needs, not one each

Cause: each freed slot, each change of the site's state and each maintenance round compared all upstreams of the service anew for every waiting request.

Change: dispatchWaiters() remembers for the time of one call which needs (service, allowed versions, excluded upstreams) found no slot, and does not compare again for the same. Which request gets which slot does not change: whether any upstream has room depends on nothing else.

--- a/kernel/src/relay/UpstreamScheduler.cpp
+++ b/kernel/src/relay/UpstreamScheduler.cpp
@@ -87,11 +87,11 @@
     this->dispatchWaiters();
 }
 
-Pick UpstreamScheduler::pick(const UpstreamRequirements &requirements)
+Pick UpstreamScheduler::pick(const UpstreamRequirements &requirements,
+                             const VersionFilter &versions)
 {
     ++this->picks;
     const std::vector<UpstreamRef> &ready = this->list->ready(requirements.service);
-    const VersionFilter versions = requirements.versions();
     this->candidates.clear();
     for (const UpstreamRef &upstream : ready) {
         if (versions.allows(*upstream)) {
@@ -149,7 +149,7 @@
 AcquireResult UpstreamScheduler::acquire(const UpstreamRequirements &requirements, Duration maxWait,
                                          const FiberEvent &cancelled)
 {
-    Pick picked = this->pick(requirements);
+    Pick picked = this->pick(requirements, requirements.versions());
     if (picked.upstream) {
         return {
             std::make_unique<UpstreamLease>(*this, std::move(picked), sharedPromptId(requirements)),
@@ -191,14 +191,23 @@
 
 void UpstreamScheduler::dispatchWaiters()
 {
+    std::vector<SlotRequirements> unmet; // Of waiters that this call has found no slot for.
     for (auto position = this->waiters.begin(); position != this->waiters.end();) {
         Waiter &waiter = **position;
-        Pick picked = this->pick(waiter.requirements);
+        const UpstreamRequirements &requirements = waiter.requirements;
+        SlotRequirements slot{requirements.service, requirements.versions(),
+                              requirements.excludedUpstreams};
+        if (std::find(unmet.begin(), unmet.end(), slot) != unmet.end()) {
+            ++position;
+            continue;
+        }
+        Pick picked = this->pick(requirements, slot.versions);
         if (picked.upstream) {
             waiter.assigned = std::move(picked);
             position = this->waiters.erase(position);
             waiter.ready.set();
         } else {
+            unmet.push_back(std::move(slot));
             ++position;
         }
     }
--- a/kernel/src/relay/UpstreamScheduler.h
+++ b/kernel/src/relay/UpstreamScheduler.h
@@ -28,6 +28,7 @@
     /// Order number of the roll-out; seeds the choice of the upstreams that serve the share.
     std::uint64_t rolloutOrder = 0;
 
+    bool operator==(const VersionFilter &other) const = default;
     bool allows(const UpstreamRecord &upstream) const
     {
         const std::string &version = upstream.softwareVersion;
@@ -148,8 +149,18 @@
         Pick assigned;
     };
 
+    /// What decides whether an upstream with a free slot may serve a request.
+    struct SlotRequirements
+    {
+        std::string service;
+        VersionFilter versions;
+        std::vector<std::string> excludedUpstreams;
+
+        bool operator==(const SlotRequirements &other) const = default;
+    };
+
     /// Chooses an upstream and reserves the slot.
-    Pick pick(const UpstreamRequirements &requirements);
+    Pick pick(const UpstreamRequirements &requirements, const VersionFilter &versions);
     Pick pickFrom(std::span<const UpstreamRef> upstreams, const UpstreamRequirements &requirements);
     QueueWaitEstimator &waitEstimator(const std::string &service);
     /// Number of waiting requests that are served before `requirements`.
--- a/kernel/tests/UpstreamSchedulerTest.cpp
+++ b/kernel/tests/UpstreamSchedulerTest.cpp
@@ -114,3 +114,52 @@
         CHECK_FALSE(used.contains(third.lease->upstream().id));
     });
 }
+
+// Guards against an instance that falls behind because each freed slot costs a full pick for each
+// waiting request.
+TEST_CASE("a freed slot costs few picks, however many requests wait for one")
+{
+    inFiber([](FiberRuntime &runtime) {
+        constexpr int kUpstreams = 140;
+        constexpr int kWaiters = 50;
+        constexpr int kMaxPicksPerSlot = 3;
+        SchedulerFixture fixture;
+        std::vector<UpstreamRef> list;
+        for (int number = 0; number < kUpstreams; ++number) {
+            list.push_back(upstream("e" + std::to_string(number), "v1"));
+        }
+        fixture.setUpstreams(list);
+        FiberEvent cancelled;
+        std::vector<AcquireResult> leases;
+        for (int number = 0; number < kUpstreams; ++number) {
+            leases.push_back(
+                fixture.scheduler.acquire(fixture.requirements(), seconds(1), cancelled));
+            REQUIRE(leases.back().lease);
+        }
+        std::vector<AcquireResult> waited;
+        for (int number = 0; number < kWaiters; ++number) {
+            runtime.spawn([&] {
+                const UpstreamRequirements requirements = fixture.requirements();
+                const FiberEvent ownCancelled;
+                AcquireResult result =
+                    fixture.scheduler.acquire(requirements, seconds(5), ownCancelled);
+                waited.push_back(std::move(result));
+            });
+        }
+        runtime.sleepFor(milliseconds(5));
+        const std::int64_t picksBefore = fixture.scheduler.pickCount();
+        leases.back().lease.reset();
+        runtime.sleepFor(milliseconds(5));
+        CHECK(waited.size() == 1);
+        CHECK(fixture.scheduler.pickCount() - picksBefore <= kMaxPicksPerSlot);
+        // Each request that waits gets its slot all the same.
+        for (AcquireResult &result : leases) {
+            result.lease.reset();
+        }
+        runtime.sleepFor(milliseconds(5));
+        REQUIRE(waited.size() == kWaiters);
+        for (const AcquireResult &result : waited) {
+            CHECK(result.lease);
+        }
+    });
+}
