An unsigned 503 is not passed on as the promise that nothing has run

What callers would see: 503, "not run and never will be", for a request that its upstream may have run (REFUSED), where a faulty upstream answers 503 without its signature and without saying that it has not run the request.

Cause: keeps unsigned answers below 500 from callers; those above were passed on as the upstream's own failure. Of these 503 promises something that nobody vouches for. Class: a status that the caller takes for this instance's own. The other promises (408, 421, 429) are below 500 and were kept back already; 421 says itself that nothing has run.

Change: such a 503 counts as an attempt that may have run: reads are sent again, orders are answered 502. What upstreams say about themselves in headers moved to recordNotices(), handleResponse() had grown long; its order is as before.

Test "an answer without a signature is not passed on" with 503: 503 before, 502 now.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -420,34 +420,42 @@
                                     upstream.incarnation(), slow ? AnswerOutcome::Bad : outcome});
 }
 
-RequestForwarder::AttemptOutcome RequestForwarder::handleResponse(Attempt &attempt,
-                                                                  HttpStream &answer)
+void RequestForwarder::recordNotices(const Attempt &attempt, const UpstreamHeaders &upstreamHeaders)
 {
-    const UpstreamHeaders upstreamHeaders =
-        this->context.requestCodec.parseUpstreamHeaders(answer.status(), answer.headers());
+    const std::string &upstream = attempt.lease.upstream().id;
+    const std::string &requestId = this->request.caller.requestId;
     if (upstreamHeaders.load) {
         attempt.lease.onLoad(*upstreamHeaders.load);
     }
     if (upstreamHeaders.leaving) {
         attempt.lease.onLeaving();
         this->context.log.write(LogKind::State, "upstream leaving",
-                                {{"upstream", attempt.lease.upstream().id},
-                                 {"request", this->request.caller.requestId}});
+                                {{"upstream", upstream}, {"request", requestId}});
     }
     if (upstreamHeaders.pause) {
         attempt.lease.onPauseRequested(*upstreamHeaders.pause);
         this->context.log.write(LogKind::State, "upstream paused",
-                                {{"upstream", attempt.lease.upstream().id},
-                                 {"request", this->request.caller.requestId},
+                                {{"upstream", upstream},
+                                 {"request", requestId},
                                  {"pauseMs", wholeMillis(*upstreamHeaders.pause)}});
     }
+}
+
+RequestForwarder::AttemptOutcome RequestForwarder::handleResponse(Attempt &attempt,
+                                                                  HttpStream &answer)
+{
+    const UpstreamHeaders upstreamHeaders =
+        this->context.requestCodec.parseUpstreamHeaders(answer.status(), answer.headers());
+    this->recordNotices(attempt, upstreamHeaders);
     if (upstreamHeaders.notExecuted) {
         this->executionTracker.onNotExecuted();
         this->lastError = "the upstream turned it away";
         return AttemptOutcome::NotExecuted;
     }
-    if (!upstreamHeaders.isSigned && answer.status() < status::kInternalError) {
-        // Whatever sent it, the caller would take it for this instance's own.
+    const bool isPromise = answer.status() == status::kUnavailable;
+    if (!upstreamHeaders.isSigned && (answer.status() < status::kInternalError || isPromise)) {
+        // Whatever sent it, the caller would take it for this instance's own: a success, a fault of
+        // the request, or the statement that the request has not run.
         this->lastError = "an answer without signature";
         attempt.lease.setResult(AttemptResult::Failed);
         this->reportAnswer(attempt, AnswerOutcome::Bad, this->context.clock.now() - attempt.sentAt);
--- a/kernel/src/relay/RequestForwarder.h
+++ b/kernel/src/relay/RequestForwarder.h
@@ -65,6 +65,8 @@
     AcquireResult acquire();
     AttemptOutcome attempt(UpstreamLease &lease);
     AttemptOutcome handleResponse(Attempt &attempt, HttpStream &answer);
+    /// Passes on what the upstream says about itself in the headers of an answer.
+    void recordNotices(const Attempt &attempt, const UpstreamHeaders &upstreamHeaders);
     /// Whether the small model's answer is discarded and the largest model asked instead; consumes
     /// retry budget.
     bool tryEscalate(const Attempt &attempt, const UpstreamHeaders &upstreamHeaders);
@@ -109,7 +111,7 @@
     CallCanceller canceller;
     FiberEvent queueCancelled;
     HttpStream *currentResponse = nullptr; ///< The response being read; closed on disconnect.
-    std::string model; ///< Chosen by the instance for a request that names no model.
+    std::string model;        ///< Chosen by the instance for a request that names no model.
     /// Upstreams whose answers were dropped at their beginning, before they could crash.
     std::vector<UpstreamRef> droppedUpstreams;
     std::vector<std::string> excludedUpstreams; ///< Ids of upstreams that have failed this request.
