No prompt is fetched from an upstream that must not get the request

A request's shared prompt may be fetched from the engine that has it cached. The source was checked for health only: it could be an engine that has failed this request, or one that leaves or has asked for a pause (Server-Leaving, Retry-After), which is not sent requests itself.

Change: the source is held to the same condition as an upstream that gets the request, mayServe().

Test "no prompt is fetched from an upstream that must not get the request": three of its conditions failed before (excluded, leaving, paused), none now.

--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -160,7 +160,9 @@
     /// Adds the delay that the prompt of a request causes at an engine.
     void scorePrompt(const State &state, const PickQuery &query, const PromptSources &sources,
                      Scored *item) const;
-    /// Scores the candidates that accept requests and have not failed this one, into `scored`.
+    /// Whether the upstream accepts requests and has not failed this one.
+    bool mayServe(const UpstreamRecord &upstream, const PickQuery &query) const;
+    /// Scores the candidates that may serve the request, into `scored`.
     void scoreAll(const PickQuery &query);
     /// The result of a pick for which `scored` is empty.
     Pick explainNone(const PickQuery &query) const;
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -115,6 +115,11 @@
     return homeEngine;
 }
 
+bool UpstreamPicker::mayServe(const UpstreamRecord &upstream, const PickQuery &query) const
+{
+    return !contains(query.avoid, upstream.id) && this->notices.acceptsRequests(upstream);
+}
+
 UpstreamPicker::PromptSources UpstreamPicker::findPromptSources(const PickQuery &query)
 {
     PromptSources sources;
@@ -130,7 +135,8 @@
         const auto place =
             std::find(sources.holders.begin(), sources.holders.end(), state.backlogKey);
         const auto rank = static_cast<std::size_t>(place - sources.holders.begin()) + 1;
-        if (place != sources.holders.end() && rank > latest && !state.health.isPaused()) {
+        if (place != sources.holders.end() && rank > latest && !state.health.isPaused()
+            && this->mayServe(*candidate, query)) {
             latest = rank;
             sources.latest = &candidate;
         }
@@ -144,7 +150,7 @@
     const PromptSources sources = this->findPromptSources(query);
     this->fetchSource = sources.latest;
     for (const UpstreamRef &candidate : query.candidates) {
-        if (!contains(query.avoid, candidate->id) && this->notices.acceptsRequests(*candidate)) {
+        if (this->mayServe(*candidate, query)) {
             this->scored.push_back(this->score(candidate, query, sources));
         }
     }
--- a/libs/decision/tests/PickerTest.cpp
+++ b/libs/decision/tests/PickerTest.cpp
@@ -228,3 +228,35 @@
     fixture.clock.advance(UpstreamNotices::kMaxPause);
     CHECK(fixture.picker.pick(fixture.query()).upstream);
 }
+
+// Guards against prompts that are fetched from an upstream which exits or has failed the request.
+TEST_CASE("no prompt is fetched from an upstream that must not get the request")
+{
+    PickerFixture fixture(9, 64);
+    PickQuery query = fixture.query();
+    query.isEngine = true;
+    query.affinityKey = 77;
+    query.ownWork = milliseconds(38);
+    query.sharedWork = milliseconds(338);
+    query.sharedTokens = 5400;
+    const UpstreamRef holder = fixture.picker.pick(query).upstream;
+    fixture.engineEstimates.cachedPrompts.onPrefilled({77, PrefillBacklog::engineKey(*holder)});
+    fixture.picker.onLoad(*holder, {60, 100, 64});
+    REQUIRE(fixture.picker.pick(query).fetchFrom == holder);
+    query.avoid = std::span(&holder->id, 1);
+    CHECK_FALSE(fixture.picker.pick(query).fetchFrom);
+    query.avoid = {};
+    SECTION("it is leaving")
+    {
+        fixture.picker.onLeaving(*holder);
+        CHECK_FALSE(fixture.picker.pick(query).fetchFrom);
+    }
+    SECTION("it has asked for a pause")
+    {
+        fixture.picker.onPauseRequested(*holder, seconds(2));
+        CHECK_FALSE(fixture.picker.pick(query).fetchFrom);
+        fixture.clock.advance(seconds(2));
+        fixture.picker.onLoad(*holder, {60, 100, 64});
+        CHECK(fixture.picker.pick(query).fetchFrom == holder);
+    }
+}
