A stream that ends with its connection before it got going is checked for a crash

What callers saw in a test: 200 with an empty body, or a stream that is complete after its first event; and the deadly prompt part counted as answered, which clears it of suspicion (BUDGET). Cause: the end of the connection was taken for the end of the answer wherever no event was open. Class: an end that a crash produces as well is read as success.

Change: a stream without any event that nobody resumed is no answer. One with fewer events than a sound prompt has is complete only if its upstream still accepts connections. Framed streams and longer ones are as before.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -377,6 +377,20 @@
                                                     &this->canceller);
 }
 
+bool RequestForwarder::isCutOff(const Attempt &attempt)
+{
+    const std::int64_t events = this->stream.events() - attempt.eventsBefore;
+    const bool isResumed = attempt.eventsBefore > 0 || this->request.caller.lastEventId;
+    if (events == 0 && !isResumed) {
+        return true;
+    }
+    if (events >= kEventsOfSoundPrompt) {
+        return false;
+    }
+    this->context.runtime.sleepFor(kCrashCheckDelay);
+    return this->hasCrashed(attempt.lease.upstream());
+}
+
 void RequestForwarder::checkPromptCrash(const Attempt &attempt, bool hasBegun)
 {
     if (attempt.hasSurvivedPrompt) {
@@ -533,18 +547,22 @@
             && this->sendCount < route.maxAttempts && route.gapTarget > Duration::zero();
         return mayFailOver ? std::min(stallTimeout, this->timeLeft()) : this->timeLeft();
     };
+    StreamRelayHooks hooks;
+    hooks.maxPause = beforeRead;
+    hooks.onFirstEvent = [&] {
+        hasFirstEvent = true;
+        firstEventAt = this->context.clock.now();
+        if (!this->timeToFirstEvent) {
+            this->timeToFirstEvent = firstEventAt - this->request.arrivedAt;
+        }
+        rateSample = {firstEventAt, this->stream.events()};
+        if (this->usesLargestModel()) {
+            this->context.cascade.onLargeFirstToken(firstEventAt - attempt.sentAt, route.goal);
+        }
+    };
+    hooks.isCutOff = [&] { return this->isCutOff(attempt); };
     const StreamOutcome outcome = this->stream.relay(
-        answer, this->context.requestCodec.toCallerHeaders(answer.headers()), beforeRead, [&] {
-            hasFirstEvent = true;
-            firstEventAt = this->context.clock.now();
-            if (!this->timeToFirstEvent) {
-                this->timeToFirstEvent = firstEventAt - this->request.arrivedAt;
-            }
-            rateSample = {firstEventAt, this->stream.events()};
-            if (this->usesLargestModel()) {
-                this->context.cascade.onLargeFirstToken(firstEventAt - attempt.sentAt, route.goal);
-            }
-        });
+        answer, this->context.requestCodec.toCallerHeaders(answer.headers()), hooks);
     if (outcome == StreamOutcome::CallerGone) {
         return AttemptOutcome::Finished;
     }
--- a/kernel/src/relay/RequestForwarder.h
+++ b/kernel/src/relay/RequestForwarder.h
@@ -89,6 +89,10 @@
     /// attempts.
     void checkPromptCrash(const Attempt &attempt, bool hasBegun);
     bool hasCrashed(const UpstreamRecord &upstream);
+    /// Whether a stream that has ended with its connection, between two events, is incomplete: it
+    /// has no event, or so few that its upstream may have crashed, and has. Blocks for the time of
+    /// a connection attempt.
+    bool isCutOff(const Attempt &attempt);
     /// Clears the request's prompt parts of suspicion.
     void onPromptAnswered(Attempt &attempt);
     /// Ends the wait for a slot, the connection attempt or the response under way.
--- a/kernel/src/relay/StreamRelay.cpp
+++ b/kernel/src/relay/StreamRelay.cpp
@@ -43,13 +43,12 @@
 }
 
 StreamOutcome StreamRelay::relay(HttpStream &answer, const HttpHeaders &headersForCaller,
-                                 const std::function<Duration()> &maxPause,
-                                 const std::function<void()> &onFirstEvent)
+                                 const StreamRelayHooks &hooks)
 {
     this->reader = SseReader();
     bool first = true;
     while (true) {
-        const Duration pause = maxPause();
+        const Duration pause = hooks.maxPause();
         if (pause <= Duration::zero()) {
             return StreamOutcome::Interrupted;
         }
@@ -66,7 +65,7 @@
         if (!events.empty()) {
             if (first) {
                 first = false;
-                onFirstEvent();
+                hooks.onFirstEvent();
             }
             if (!this->send(events, headersForCaller)) {
                 return StreamOutcome::CallerGone;
@@ -79,6 +78,9 @@
     if (!this->reader.rest().empty()) {
         return StreamOutcome::Interrupted; // The stream ended inside an event, so it is incomplete.
     }
+    if (answer.endsWithConnection() && hooks.isCutOff()) {
+        return StreamOutcome::Interrupted;
+    }
     if (!this->streamBegun && !this->exchange.beginStream(status::kOk, headersForCaller).ok()) {
         return StreamOutcome::CallerGone;
     }
--- a/kernel/src/relay/StreamRelay.h
+++ b/kernel/src/relay/StreamRelay.h
@@ -19,6 +19,17 @@
     Interrupted, ///< The upstream disconnected, timed out or omitted an event.
 };
 
+/// What a StreamRelay asks while it relays an answer.
+struct StreamRelayHooks
+{
+    /// Called before each read; returns its timeout.
+    std::function<Duration()> maxPause;
+    std::function<void()> onFirstEvent;
+    /// Called when the answer ends with its connection, between two events; returns whether it has
+    /// been cut off there.
+    std::function<bool()> isCutOff;
+};
+
 /// Relays the stream of one request.
 class StreamRelay
 {
@@ -27,10 +38,9 @@
     /// own.
     StreamRelay(HttpExchange &exchange, std::optional<std::int64_t> resumeAfter);
 
-    /// Relays `answer` to its end. `maxPause` is called before each read and returns its timeout.
+    /// Relays `answer` to its end.
     StreamOutcome relay(HttpStream &answer, const HttpHeaders &headersForCaller,
-                        const std::function<Duration()> &maxPause,
-                        const std::function<void()> &onFirstEvent);
+                        const StreamRelayHooks &hooks);
     /// Whether anything has been sent to the caller.
     bool hasStarted() const { return this->streamBegun; }
     std::optional<std::int64_t> lastEventId() const { return this->lastSentId; }
--- a/libs/runtime/include/runtime/HttpClient.h
+++ b/libs/runtime/include/runtime/HttpClient.h
@@ -61,6 +61,9 @@
     virtual ~HttpStream() = default;
     virtual int status() const = 0;
     virtual const HttpHeaders &headers() const = 0;
+    /// Whether the answer has neither a length nor chunks: its end is that of its connection, also
+    /// when the peer has crashed.
+    virtual bool endsWithConnection() const = 0;
     /// The next part; empty at the end of a complete answer; an error when it was cut.
     virtual absl::StatusOr<std::string> readSome(Duration timeout) = 0;
     /// Reads to the end; an error beyond `limit` bytes.
--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -228,6 +228,7 @@
         if (result.error) {
             return callFailure("read header", this->peer, result.error, SendProgress::MaybeSent);
         }
+        this->endsAtClose = this->parser->need_eof();
         for (const auto &field : this->parser->get()) {
             this->plainHeaders.add(std::string(field.name_string()), std::string(field.value()));
         }
@@ -236,6 +237,7 @@
 
     int status() const override { return static_cast<int>(this->parser->get().result_int()); }
     const HttpHeaders &headers() const override { return this->plainHeaders; }
+    bool endsWithConnection() const override { return this->endsAtClose; }
     void close() override
     {
         if (this->connection) {
@@ -319,7 +321,7 @@
 
     absl::Status skipBody(TimePoint until)
     {
-        if (this->parser->need_eof()) {
+        if (this->endsAtClose) {
             return failure(absl::StatusCode::kDataLoss, "skip answer", this->peer.text(),
                            "an answer of another request without a length");
         }
@@ -350,6 +352,7 @@
     HttpHeaders plainHeaders;
     std::size_t framingBytes = 0; ///< Read of the answer at hand beside its header and body.
     bool closed = false;
+    bool endsAtClose = false; ///< See endsWithConnection().
 };
 
 http::request<http::string_body> toWire(const Endpoint &peer, const HttpRequest &request)
