Instances that start learn of a second quarantine of a prompt part

A quarantine ends after two minutes; if the part still crashes upstreams, the next one begins with evidence counted anew. Its rumor had a lower version than the end of the first, so it was no news: instances that ran learned of it from the single crashes, but one that started took nothing over and let the part through. Class: a version that is derived from a count which may start again.

Change: the version of a quarantine continues from the latest known one. What it says (held, or lifted) is as before.

Test "an instance that starts learns of each quarantine of a part, and of its end": the second quarantine was unknown to a starting instance before; three rounds hold now, ended by time and by an answer.

--- a/kernel/src/site/PromptPartGossip.cpp
+++ b/kernel/src/site/PromptPartGossip.cpp
@@ -6,6 +6,8 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace basilnotch {
 
 namespace {
@@ -76,7 +78,15 @@
     };
     tell({chainId(report), evidence, ""});
     if (report.isQuarantined) {
-        tell({{RumorKind::Quarantine, report.part}, 2 * evidence + (report.isCleared ? 1 : 0), ""});
+        const RumorId id{RumorKind::Quarantine, report.part};
+        const auto found = this->known.find(id);
+        std::uint64_t version = 2 * evidence;
+        if (found != this->known.end()) {
+            // Evidence starts anew after a quarantine, versions do not.
+            const std::uint64_t latest = found->second.version;
+            version = std::max(version, latest + latest % 2);
+        }
+        tell({id, version + (report.isCleared ? 1 : 0), ""});
     }
 }
 
