--- a/review/support/World.hpp
+++ b/review/support/World.hpp
@@ -98,6 +98,8 @@
     {
         this->change(table, key, "", true);
     }
+    /// While `isBusy`, new calls get 503; calls that wait for a change go on waiting.
+    void setBusy(bool isBusy) { this->isBusy = isBusy; }
     /// All connections that are open now go silent for good; new ones work.
     void silenceOpenConnections() { this->silentUpTo = this->server.newest(); }
 
@@ -199,7 +201,9 @@
         if (connection.number > this->silentUpTo) {
             const std::string path = request.path();
             const std::string table = request.query("table");
-            if (path == "/api/rows-get") {
+            if (this->isBusy) {
+                status = 503;
+            } else if (path == "/api/rows-get") {
                 const std::lock_guard lock(this->mutex);
                 body = this->page([&](const Key &key, const Row &row) {
                     return key.first == table && !row.isDeleted;
@@ -225,6 +229,7 @@
     std::map<Key, Row> rows;
     std::uint64_t version = 1;
     std::atomic<bool> isStopping{false};
+    std::atomic<bool> isBusy{false};
     std::atomic<int> silentUpTo{0};
 };
 
@@ -346,6 +351,7 @@
 
 constexpr Millis kContact{3000};     ///< contact_ms
 constexpr Millis kConfigApply{2000}; ///< config_apply_ms
+constexpr Millis kDrain{2000};       ///< drain_ms
 constexpr Millis kGrace{8000};       ///< grace_s
 constexpr Millis kHeartbeat{1200};   ///< heartbeat_ms
 
@@ -496,22 +502,29 @@
             return false;
         }
         const auto born = std::chrono::system_clock::now().time_since_epoch();
+        this->born = std::chrono::duration_cast<Millis>(born).count();
+        this->report("ready");
+        return true;
+    }
+    /// Reports that it drains and serves on; returns once the store has acknowledged the report.
+    void drain() { this->report("draining"); }
+
+private:
+    void report(const std::string &state)
+    {
         this->store.put("servers", this->id,
                         {{"service", this->service},
                          {"address", this->address.text()},
                          {"zone", "zone-1"},
                          {"version", "v1"},
                          {"slots", 64},
-                         {"state", "ready"},
+                         {"state", state},
                          {"cold_left_ms", 0},
                          {"phase", "combined"},
                          {"models", Json::array()},
-                         {"seq", 1},
-                         {"born", std::chrono::duration_cast<Millis>(born).count()}});
-        return true;
+                         {"seq", state == "ready" ? 1 : 2},
+                         {"born", this->born}});
     }
-
-private:
     bool handle(const Request &request, const Connection &connection)
     {
         const std::string attempt = findHeader(request.headers, "Attempt-Id");
@@ -561,6 +574,7 @@
     const Work work;
     Address address;
     std::string id;
+    long born = 0; ///< Unix milliseconds.
     int starts = 0;
     std::unique_ptr<Server> server;
     std::thread repair;
