--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -10,12 +10,12 @@
 
 constexpr int kMachines = 3;
 constexpr int kServers = 9;
-constexpr int kEvents = 40;         ///< Of a whole stream.
-constexpr int kEventsToCrash = 4;   ///< Of one run, before its server crashes.
+constexpr int kEvents = 40;       ///< Of a whole stream.
+constexpr int kEventsToCrash = 4; ///< Of one run, before its server crashes.
 constexpr Millis kEventGap{20};
-constexpr int kResends = 6;         ///< After contact_ms from the third crash.
+constexpr int kResends = 6; ///< After contact_ms from the third crash.
 constexpr Millis kResendGap{4000};
-constexpr int kAllowedRetries = 3;  ///< BUDGET: "in more than three retries".
+constexpr int kAllowedRetries = 3; ///< BUDGET: "in more than three retries".
 constexpr char kDeadly[] = "/plans/deadly";
 
 /// The times of the arrivals of the deadly request at servers, and of the crashes.
@@ -64,9 +64,12 @@
 Answer ask(const Address &machine, const std::string &target, const std::string &id)
 {
     Request request{"POST", target, {}, "write a plan"};
-    request.headers = {{"Host", "api.example"},    {"Attempt-Id", id},
-                       {"Model", "m1"},            {"Token-Counts", "100,40"},
-                       {"Prompt-Prefix", "aa11:60,bb22:40"}, {"Deadline-Ms", "4000"},
+    request.headers = {{"Host", "api.example"},
+                       {"Attempt-Id", id},
+                       {"Model", "m1"},
+                       {"Token-Counts", "100,40"},
+                       {"Prompt-Prefix", "aa11:60,bb22:40"},
+                       {"Deadline-Ms", "4000"},
                        {"Authorization", "Bearer key-1"}};
     if (target != kDeadly) {
         request.headers[4].second = "cc33:60,dd44:40";
@@ -86,9 +89,8 @@
     Deployment deployment(arguments[1]);
     std::vector<std::unique_ptr<Upstream>> servers;
     for (int number = 1; number <= kServers; ++number) {
-        servers.push_back(std::make_unique<Upstream>(deployment.store, journal,
-                                                     std::to_string(number), "models",
-                                                     work(journal, seen)));
+        servers.push_back(std::make_unique<Upstream>(
+            deployment.store, journal, std::to_string(number), "models", work(journal, seen)));
         if (!servers.back()->start()) {
             return kCouldNotRun;
         }
@@ -144,8 +146,8 @@
     }
     const std::string verdict = "third crash at " + std::to_string(third)
         + " ms; arrivals later than contact_ms after it: " + std::to_string(retries)
-        + " (allowed: " + std::to_string(kAllowedRetries) + "); crashes in all: "
-        + std::to_string(crashes().size());
+        + " (allowed: " + std::to_string(kAllowedRetries)
+        + "); crashes in all: " + std::to_string(crashes().size());
     journal.write(verdict);
     std::cout << verdict << std::endl;
     return retries > kAllowedRetries ? kBroken : kHeld;
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -13,7 +13,7 @@
 constexpr long kConfigureAt = 14000; ///< Milliseconds after the start, like the next ones.
 constexpr long kBusyFrom = 18500;
 constexpr long kBusyUntil = 23000;
-constexpr long kDrainAt = 26300;     ///< Later than contact_ms after the store is back.
+constexpr long kDrainAt = 26300; ///< Later than contact_ms after the store is back.
 constexpr long kEnd = 38000;
 constexpr Millis kGap{50};
 
@@ -36,17 +36,17 @@
     Deployment deployment(arguments[1]);
     std::vector<std::unique_ptr<Upstream>> servers;
     for (int number = 1; number <= kServers; ++number) {
-        servers.push_back(std::make_unique<Upstream>(
-            deployment.store, journal, std::to_string(number), "orders",
-            [&, number](const Upstream::Run &run) {
-                if (number == 1) {
-                    const std::lock_guard lock(seen.mutex);
-                    seen.arrivals.push_back(journal.millis());
-                }
-                sleepFor(Millis(10));
-                run.connection.respond(200, run.headers, "stock");
-                return true;
-            }));
+        servers.push_back(
+            std::make_unique<Upstream>(deployment.store, journal, std::to_string(number), "orders",
+                                       [&, number](const Upstream::Run &run) {
+                                           if (number == 1) {
+                                               const std::lock_guard lock(seen.mutex);
+                                               seen.arrivals.push_back(journal.millis());
+                                           }
+                                           sleepFor(Millis(10));
+                                           run.connection.respond(200, run.headers, "stock");
+                                           return true;
+                                       }));
         if (!servers.back()->start()) {
             return kCouldNotRun;
         }
@@ -89,8 +89,7 @@
                               ""};
         const auto machine = static_cast<std::size_t>(sent % kMachines);
         journal.write("client sends " + id + " to machine " + std::to_string(machine + 1));
-        const Answer answer =
-            call(deployment.instances[machine]->callers(), request, Millis(1500));
+        const Answer answer = call(deployment.instances[machine]->callers(), request, Millis(1500));
         journal.write("client got " + id + ": " + std::to_string(answer.status));
         unserved += answer.status == 200 ? 0 : 1;
         sleepFor(kGap);
@@ -98,9 +97,8 @@
     const std::lock_guard lock(seen.mutex);
     const long before = std::count_if(seen.arrivals.begin(), seen.arrivals.end(),
                                       [&](long at) { return at < acknowledged; });
-    const long late = std::count_if(seen.arrivals.begin(), seen.arrivals.end(), [&](long at) {
-        return at > acknowledged + kDrain.count();
-    });
+    const long late = std::count_if(seen.arrivals.begin(), seen.arrivals.end(),
+                                    [&](long at) { return at > acknowledged + kDrain.count(); });
     const std::string verdict = "requests that reached the leaving server later than drain_ms "
                                 "after the acknowledgement: "
         + std::to_string(late) + "; before it: " + std::to_string(before)
--- a/review/support/World.hpp
+++ b/review/support/World.hpp
@@ -13,7 +13,7 @@
 #include <fstream>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace review {
@@ -158,9 +158,8 @@
         };
         this->changed.wait_for(lock, wait, [&] {
             return this->isStopping
-                || std::any_of(this->rows.begin(), this->rows.end(), [&](const auto &item) {
-                       return isWanted(item.first, item.second);
-                   });
+                || std::any_of(this->rows.begin(), this->rows.end(),
+                               [&](const auto &item) { return isWanted(item.first, item.second); });
         });
         return this->page(isWanted);
     }
@@ -180,7 +179,8 @@
             }
             if (!holds) {
                 *status = 412;
-                return this->page([&](const Key &key, const Row &) { return expected.contains(key); });
+                return this->page(
+                    [&](const Key &key, const Row &) { return expected.contains(key); });
             }
             ++this->version;
             for (const Json &row : body.at("write")) {
@@ -290,6 +290,7 @@
         const std::string log = this->folder + "/" + this->ip + ".log";
         this->process = ::fork();
         if (this->process == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Ends with the script, however that ends.
             const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(output, STDOUT_FILENO);
             ::dup2(output, STDERR_FILENO);
@@ -349,10 +350,12 @@
 /// The bounds of sites/mp-roteador.toml that the template hands to the project.
 inline Json siteBounds()
 {
-    return {{"exposureShare", 0.15},     {"exposureSlack", 30},      {"rollbackMs", 5000},
-            {"sessionGapSeconds", 5},    {"retryRatio", 0.9},        {"retryWindowSeconds", 10},
-            {"retrySlack", 58},          {"directoryTtlMaxSeconds", 5}, {"stopGraceSeconds", 8},
-            {"configApplyMs", 2000},     {"contactMs", 3000}};
+    return {{"exposureShare", 0.15}, {"exposureSlack", 30},
+            {"rollbackMs", 5000},    {"sessionGapSeconds", 5},
+            {"retryRatio", 0.9},     {"retryWindowSeconds", 10},
+            {"retrySlack", 58},      {"directoryTtlMaxSeconds", 5},
+            {"stopGraceSeconds", 8}, {"configApplyMs", 2000},
+            {"contactMs", 3000}};
 }
 
 constexpr Millis kContact{3000};     ///< contact_ms
@@ -407,15 +410,14 @@
         for (int number = 0; number < count; ++number) {
             Instance &instance = *this->instances[static_cast<std::size_t>(number)];
             instance.writeSettings("edge-" + std::to_string(number + 1),
-                                   "zone-" + std::to_string(number + 1), seeds,
-                                   this->store.address, siteBounds());
+                                   "zone-" + std::to_string(number + 1), seeds, this->store.address,
+                                   siteBounds());
             if (!instance.start()) {
                 return false;
             }
         }
-        return std::all_of(this->instances.begin(), this->instances.end(), [](const auto &instance) {
-            return instance->waitReady(Millis(10000));
-        });
+        return std::all_of(this->instances.begin(), this->instances.end(),
+                           [](const auto &instance) { return instance->waitReady(Millis(10000)); });
     }
 
     Store store;
@@ -429,40 +431,36 @@
 inline Json route(const std::string &name, const std::string &kind, const std::string &service,
                   int attempts, bool canResume)
 {
-    return {{"name", name},
-            {"host", "api.example"},
-            {"prefix", "/" + name + "/"},
-            {"route_kind", kind},
-            {"timeout_ms", 4000},
-            {"goal_ms", 1000},
-            {"priority", 1},
-            {"service", service},
-            {"max_attempts", attempts},
-            {"public", false},
-            {"sticky", canResume},
-            {"can_resume", canResume},
+    return {{"name", name},         {"host", "api.example"}, {"prefix", "/" + name + "/"},
+            {"route_kind", kind},   {"timeout_ms", 4000},    {"goal_ms", 1000},
+            {"priority", 1},        {"service", service},    {"max_attempts", attempts},
+            {"public", false},      {"sticky", canResume},   {"can_resume", canResume},
             {"gap_target_ms", 1500}};
 }
 
 inline Json configuration(int version, const Json &routes, const std::vector<std::string> &keys)
 {
-    const Json engine{{"slots", 64},         {"kv_capacity", 489963}, {"kv_token_bytes", 18432},
-                      {"link_mbps", 180000}, {"stride", 1},
+    const Json engine{{"slots", 64},
+                      {"kv_capacity", 489963},
+                      {"kv_token_bytes", 18432},
+                      {"link_mbps", 180000},
+                      {"stride", 1},
                       {"models", Json::array({{{"name", "m1"}, {"cost", 0.1}}})}};
-    return {{"version", version},
-            {"routes", routes},
-            {"services",
-             Json::array({{{"name", "models"},
-                           {"health_path", "/healthz"},
-                           {"max_conns", 370},
-                           {"engine", engine}},
-                          {{"name", "orders"}, {"health_path", "/healthz"}, {"max_conns", 110}}})},
-            {"limits",
-             {{"max_header_bytes", 16384},
-              {"max_body_bytes", 4194304},
-              {"header_timeout_ms", 3000},
-              {"idle_timeout_ms", 15000}}},
-            {"tenants", Json::array({{{"name", "tenant-1"}, {"api_keys", keys}, {"priority", 1}}})}};
+    return {
+        {"version", version},
+        {"routes", routes},
+        {"services",
+         Json::array({{{"name", "models"},
+                       {"health_path", "/healthz"},
+                       {"max_conns", 370},
+                       {"engine", engine}},
+                      {{"name", "orders"}, {"health_path", "/healthz"}, {"max_conns", 110}}})},
+        {"limits",
+         {{"max_header_bytes", 16384},
+          {"max_body_bytes", 4194304},
+          {"header_timeout_ms", 3000},
+          {"idle_timeout_ms", 15000}}},
+        {"tenants", Json::array({{{"name", "tenant-1"}, {"api_keys", keys}, {"priority", 1}}})}};
 }
 
 /// A server as the pages describe it. It may crash when it runs a request.
@@ -498,8 +496,8 @@
     }
     bool start()
     {
-        this->server = std::make_unique<Server>(
-            [this](const Request &request, const Connection &connection) {
+        this->server =
+            std::make_unique<Server>([this](const Request &request, const Connection &connection) {
                 return this->handle(request, connection);
             });
         ++this->starts;
