Logs and metrics tell where a late change has waited

The users' record of changes that came late fits four causes that the logs could not tell apart. A large record is fetched from peers, and neither its end, nor the peers asked, nor the time it took was logged; a registration or its removal did not name the record's version, by which the lines of instances compare; an upstream that is kept after its registration has gone left no line.

New lines "record fetched", "record not fetched" (asked, unreachable, tookMs) and "upstream kept", the record's version in "upstream" and "upstream gone", counters record_fetches_total and record_fetches_failed_total. No decision changes. Tests upstreams, kernel, site_peers, site_store, site_recovery and site_log pass.

--- a/kernel/src/site/RecordGossip.cpp
+++ b/kernel/src/site/RecordGossip.cpp
@@ -45,12 +45,17 @@
 } // namespace
 
 RecordGossip::RecordGossip(FiberRuntime &runtime, Gossip &gossip, PeerMessenger &peers,
-                           const Replica &replica, RecordHandler onRecord)
+                           const Replica &replica, RecordHandler onRecord, const Clock &clock,
+                           EventLog &log, Metrics &metrics)
     : runtime(runtime)
     , gossip(gossip)
     , peers(peers)
     , replica(replica)
     , onRecord(std::move(onRecord))
+    , clock(clock)
+    , log(log)
+    , fetches(metrics.counter("record_fetches_total"))
+    , failedFetches(metrics.counter("record_fetches_failed_total"))
     , random(hash64(gossip.self().incarnation))
 {
     this->peers.setHandler(PeerMessageKind::FetchRecord,
@@ -114,9 +119,14 @@
         // otherwise be asked again and again.
         std::shuffle(members.begin(), members.end(), this->random);
         members.resize(std::min(members.size(), kMaxFetchAttempts));
+        const TimePoint beganAt = this->clock.now();
+        FetchProgress progress;
+        bool found = false;
         for (const Member &member : members) {
             const auto reply = this->peers.call(member.peers, PeerMessageKind::FetchRecord,
                                                 rumorName(key), kFetchTimeout);
+            ++progress.asked;
+            progress.unreachable += reply.ok() ? 0 : 1;
             const std::size_t line = reply.ok() ? reply->find('\n') : std::string::npos;
             if (line == std::string::npos) {
                 continue;
@@ -125,13 +135,28 @@
             const bool readable = absl::SimpleAtoi(reply->substr(0, line), &record.version);
             if (readable && record.version >= version) {
                 this->onRecord(record);
+                found = true;
                 break;
             }
         }
+        this->onFetchEnded(key, version, found, progress, beganAt);
         this->fetching.erase(key);
         // Gossip is processed again: the fetch may have failed, or a newer version may exist.
         this->processedDigest = 0;
     });
 }
 
+void RecordGossip::onFetchEnded(const RecordKey &key, RecordVersion version, bool found,
+                                const FetchProgress &progress, TimePoint beganAt)
+{
+    this->fetches.add();
+    this->failedFetches.add(found ? 0 : 1);
+    this->log.write(LogKind::State, found ? "record fetched" : "record not fetched",
+                    {{"record", key.name},
+                     {"version", static_cast<std::int64_t>(version)},
+                     {"asked", std::int64_t{progress.asked}},
+                     {"unreachable", std::int64_t{progress.unreachable}},
+                     {"tookMs", wholeMillis(this->clock.now() - beganAt)}});
+}
+
 } // namespace basilnotch
--- a/kernel/src/site/RecordGossip.h
+++ b/kernel/src/site/RecordGossip.h
@@ -5,8 +5,11 @@
 
 #include "control/PeerMessenger.h"
 
+#include <base/Clock.h>
 #include <membership/Gossip.h>
 #include <replica/Replica.h>
+#include <telemetry/EventLog.h>
+#include <telemetry/Metrics.h>
 
 #include <functional>
 #include <random>
@@ -22,7 +25,8 @@
     using RecordHandler = std::function<bool(const Record &record)>;
 
     RecordGossip(FiberRuntime &runtime, Gossip &gossip, PeerMessenger &peers,
-                 const Replica &replica, RecordHandler onRecord);
+                 const Replica &replica, RecordHandler onRecord, const Clock &clock, EventLog &log,
+                 Metrics &metrics);
 
     /// Publishes a new record, from the store or from a peer, to the peers.
     void announce(const Record &record);
@@ -30,7 +34,17 @@
     void processRumors();
 
 private:
+    /// The peers that a fetch has asked so far.
+    struct FetchProgress
+    {
+        int asked = 0;
+        int unreachable = 0; ///< Of these: no answer in time.
+    };
+
     void fetch(const RecordKey &key, RecordVersion version);
+    /// Logs and counts the end of a fetch that began at `beganAt`.
+    void onFetchEnded(const RecordKey &key, RecordVersion version, bool found,
+                      const FetchProgress &progress, TimePoint beganAt);
     std::string handleFetch(const std::string &name) const;
 
     FiberRuntime &runtime;
@@ -38,6 +52,10 @@
     PeerMessenger &peers;
     const Replica &replica;
     const RecordHandler onRecord;
+    const Clock &clock;
+    EventLog &log;
+    Counter &fetches;
+    Counter &failedFetches;
     std::mt19937_64 random;
     std::set<RecordKey> fetching;
     std::uint64_t processedDigest = 0; ///< Digest of the gossip that was processed last.
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -100,8 +100,10 @@
     , gossip(makeMember(this->settings, this->ownIncarnation), firstMemberVersion(clock), {}, clock,
              hash64(this->ownIncarnation))
     , peers(this->runtime, this->peerSettings, this->gossip, metrics)
-    , recordGossip(this->runtime, this->gossip, this->peers, this->replica,
-                   [this](const Record &record) { return this->mergeRecord(record, "peer"); })
+    , recordGossip(
+          this->runtime, this->gossip, this->peers, this->replica,
+          [this](const Record &record) { return this->mergeRecord(record, "peer"); }, clock, log,
+          metrics)
     , promptParts(this->gossip, clock, kCrashRetention)
     , rollouts(this->runtime, *this->store, adapter.recordCodec(), this->gossip, this->peers, clock,
                log)
@@ -327,12 +329,15 @@
                          {"service", registered->upstream.service},
                          {"version", registered->upstream.softwareVersion},
                          {"ready", registered->upstream.state == UpstreamState::Ready},
+                         {"record", version},
                          {"from", from}});
         this->presence.onRegistered(std::move(registered->upstream));
     } else if (const auto *removed = std::get_if<UpstreamRemoval>(&*update)) {
         this->log.write(LogKind::State, "upstream gone",
-                        {{"upstream", removed->id}, {"from", from}});
-        this->presence.onRemoved(removed->id);
+                        {{"upstream", removed->id}, {"record", version}, {"from", from}});
+        if (this->presence.onRemoved(removed->id)) {
+            this->log.write(LogKind::State, "upstream kept", {{"upstream", removed->id}});
+        }
     } else if (const auto *rollout = std::get_if<RolloutUpdate>(&*update)) {
         this->rollouts.onOrder(rollout->order, record.version);
     }
--- a/libs/upstreams/include/upstreams/Presence.h
+++ b/libs/upstreams/include/upstreams/Presence.h
@@ -27,8 +27,9 @@
     /// The store answers again after it did not.
     void onStoreReturned();
     void onRegistered(UpstreamRecord record);
-    /// The registration is gone. Right after an outage the upstream is kept for a while.
-    void onRemoved(const std::string &id);
+    /// The registration is gone. Right after an outage the upstream is kept for a while; returns
+    /// whether it is.
+    bool onRemoved(const std::string &id);
     /// Drops upstreams whose time is over; true when the list has changed by it.
     bool expire();
     /// Everything that counts as there.
--- a/libs/upstreams/src/Presence.cpp
+++ b/libs/upstreams/src/Presence.cpp
@@ -20,20 +20,23 @@
     entry.dropAt.reset();
 }
 
-void Presence::onRemoved(const std::string &id)
+bool Presence::onRemoved(const std::string &id)
 {
     const auto found = this->entries.find(id);
     if (found == this->entries.end()) {
-        return;
+        return false;
     }
     const bool mayHaveLapsed = this->storeReturnedAt
         && this->clock.now() < *this->storeReturnedAt + this->options.returnGrace;
     const bool wasLeaving = found->second.record->state == UpstreamState::Draining;
     if (!mayHaveLapsed || wasLeaving) {
         this->entries.erase(found);
-    } else if (!found->second.dropAt) {
+        return false;
+    }
+    if (!found->second.dropAt) {
         found->second.dropAt = *this->storeReturnedAt + this->options.returnGrace;
     }
+    return true;
 }
 
 bool Presence::expire()
