The control thread logs and measures its delay

An instance that learns of changes late because its control thread is behind looked like one that nobody told. The tick of 200 ms now records how late it runs (control_loop_delay_seconds) and logs "control thread behind" from 200 ms on, as the traffic thread does.

--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -23,6 +23,8 @@
 /// A few rounds reach every instance well within the time limit for a change to take effect.
 constexpr Duration kGossipInterval = milliseconds(250);
 constexpr Duration kTickInterval = milliseconds(200);
+/// A control thread that is this late delays every change that peers or the store tell.
+constexpr Duration kOverloadDelay = milliseconds(200);
 /// Least time between two views. Both threads pay for each view as much as for the whole site, so
 /// changes that arrive together share one.
 constexpr Duration kPublishInterval = milliseconds(20);
@@ -385,8 +387,21 @@
     });
 }
 
+void SiteControl::recordDelay()
+{
+    const TimePoint now = this->clock.now();
+    const Duration delay =
+        this->tickedAt ? now - (*this->tickedAt + kTickInterval) : Duration::zero();
+    this->tickedAt = now;
+    this->metrics.histogram("control_loop_delay_seconds").record(delay);
+    if (delay >= kOverloadDelay) {
+        this->log.write(LogKind::State, "control thread behind", {{"delayMs", wholeMillis(delay)}});
+    }
+}
+
 void SiteControl::tick()
 {
+    this->recordDelay();
     this->dropExpiredRumors();
     const std::shared_ptr<const SiteView> current = this->published.get();
     this->rollouts.tick(this->tableWatcher.storeTime(), *current->upstreams);
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -102,6 +102,8 @@
     /// that can reach the store as candidates.
     void updateAssignments();
     void tick();
+    /// Measures and logs how late the tick at hand is.
+    void recordDelay();
     /// Publishes a view now.
     void publish();
     /// Publishes a view with the changes made so far as soon as kPublishInterval allows.
@@ -141,6 +143,7 @@
     bool gossipScheduled = false;      ///< A round of gossip is about to start.
     bool publishScheduled = false;     ///< A view is about to be published.
     TimePoint publishedAt{};           ///< Of the latest view.
+    std::optional<TimePoint> tickedAt; ///< Of the latest tick; empty before the first.
     std::optional<ShutdownTimes> stop; ///< Set once this instance is leaving.
     std::thread thread;
 };
