An upstream that leaves right after a short loss of the store is dropped in time

For two seconds after "store regained" a registration that is removed may have lapsed, so its upstream is kept.

An upstream without a registration is now kept for no longer than the drain time less 300 ms after its removal was learned, and dropped at that moment; the drain time is a bound of the site (drainMs).

--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -98,7 +98,7 @@
     , client(this->runtime)
     , store(adapter.makeStore(this->client))
     , tables(allTables(adapter.recordCodec()))
-    , presence({}, clock)
+    , presence({.drain = this->settings.bounds.drain}, clock)
     , gossip(makeMember(this->settings, this->ownIncarnation), firstMemberVersion(clock), {}, clock,
              hash64(this->ownIncarnation))
     , peers(this->runtime, this->peerSettings, this->gossip, metrics)
@@ -339,6 +339,7 @@
                         {{"upstream", removed->id}, {"record", version}, {"from", from}});
         if (this->presence.onRemoved(removed->id)) {
             this->log.write(LogKind::State, "upstream kept", {{"upstream", removed->id}});
+            this->scheduleExpiry();
         }
     } else if (const auto *rollout = std::get_if<RolloutUpdate>(&*update)) {
         this->rollouts.onOrder(rollout->order, record.version);
@@ -406,12 +407,27 @@
     const std::shared_ptr<const SiteView> current = this->published.get();
     this->rollouts.tick(this->tableWatcher.storeTime(), *current->upstreams);
     this->updateAssignments();
-    const bool expired = this->presence.expire();
-    if (expired || this->rollouts.revision() != this->publishedRolloutRevision) {
+    if (this->rollouts.revision() != this->publishedRolloutRevision) {
         this->publishSoon();
     }
 }
 
+void SiteControl::scheduleExpiry()
+{
+    if (std::exchange(this->expiryScheduled, true)) {
+        return;
+    }
+    this->runtime.spawn([this] {
+        while (const std::optional<TimePoint> next = this->presence.nextExpiry()) {
+            this->runtime.sleepFor(std::max(Duration::zero(), *next - this->clock.now()));
+            if (this->presence.expire()) {
+                this->publishSoon();
+            }
+        }
+        this->expiryScheduled = false;
+    });
+}
+
 void SiteControl::publishSoon()
 {
     if (std::exchange(this->publishScheduled, true)) {
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -101,6 +101,8 @@
     /// Once hasSettled(), calls selectWatchedTables() and announceIfSelected() with the instances
     /// that can reach the store as candidates.
     void updateAssignments();
+    /// Drops the upstreams that are kept without a registration, each at its time.
+    void scheduleExpiry();
     void tick();
     /// Measures and logs how late the tick at hand is.
     void recordDelay();
@@ -142,6 +144,7 @@
     bool announced = false;            ///< The address is in the store or is being written.
     bool gossipScheduled = false;      ///< A round of gossip is about to start.
     bool publishScheduled = false;     ///< A view is about to be published.
+    bool expiryScheduled = false;      ///< A fiber waits to drop upstreams.
     TimePoint publishedAt{};           ///< Of the latest view.
     std::optional<TimePoint> tickedAt; ///< Of the latest tick; empty before the first.
     std::optional<ShutdownTimes> stop; ///< Set once this instance is leaving.
--- a/libs/settings/include/settings/SiteSettings.h
+++ b/libs/settings/include/settings/SiteSettings.h
@@ -15,6 +15,7 @@
 {
     Duration stopGrace = seconds(8);       ///< From SIGTERM until the process is killed.
     Duration configApply = seconds(2);     ///< A new configuration is in force after this.
+    Duration drain = seconds(2);           ///< An upstream that leaves gets nothing after this.
     Duration contact = seconds(3);         ///< A disruption counts for this long after its end.
     Duration directoryTtlMax = seconds(5); ///< Callers keep a directory answer no longer.
     Duration sessionGap = seconds(5);      ///< Requests of a session follow each other within it.
--- a/libs/settings/src/SiteSettings.cpp
+++ b/libs/settings/src/SiteSettings.cpp
@@ -29,6 +29,7 @@
     SiteBounds bounds;
     bounds.stopGrace = secondsAt(reader, "stopGraceSeconds", bounds.stopGrace);
     bounds.configApply = millisAt(reader, "configApplyMs", bounds.configApply);
+    bounds.drain = millisAt(reader, "drainMs", bounds.drain);
     bounds.contact = millisAt(reader, "contactMs", bounds.contact);
     bounds.directoryTtlMax = secondsAt(reader, "directoryTtlMaxSeconds", bounds.directoryTtlMax);
     bounds.sessionGap = secondsAt(reader, "sessionGapSeconds", bounds.sessionGap);
--- a/libs/upstreams/include/upstreams/Presence.h
+++ b/libs/upstreams/include/upstreams/Presence.h
@@ -16,6 +16,10 @@
 {
     /// After the store's return, a registration that lapsed meanwhile has this long to come back.
     Duration returnGrace = std::chrono::milliseconds(2000);
+    /// No request may reach an upstream this long after its registration has gone for good.
+    Duration drain = std::chrono::milliseconds(2000);
+    /// Part of `drain` for learning of the removal, and for a request that is being sent.
+    Duration drainMargin = std::chrono::milliseconds(300);
 };
 
 /// Control thread only.
@@ -32,6 +36,8 @@
     bool onRemoved(const std::string &id);
     /// Drops upstreams whose time is over; true when the list has changed by it.
     bool expire();
+    /// When expire() is to be called next; empty when no upstream is kept without a registration.
+    std::optional<TimePoint> nextExpiry() const;
     /// Everything that counts as there.
     std::vector<UpstreamRef> list() const;
 
--- a/libs/upstreams/src/Presence.cpp
+++ b/libs/upstreams/src/Presence.cpp
@@ -1,6 +1,9 @@
-// A removal counts at once in quiet times, and only after a grace when the store was away.
+// A removal counts at once in quiet times, and only after a grace when the store was away. The
+// grace ends before an upstream that has left for good must get no requests.
 #include <upstreams/Presence.h>
 
+#include <algorithm>
+
 namespace basilnotch {
 
 Presence::Presence(PresenceOptions options, const Clock &clock)
@@ -34,7 +37,10 @@
         return false;
     }
     if (!found->second.dropAt) {
-        found->second.dropAt = *this->storeReturnedAt + this->options.returnGrace;
+        // The upstream may have left for good instead.
+        const Duration longest = this->options.drain - this->options.drainMargin;
+        found->second.dropAt = std::min(*this->storeReturnedAt + this->options.returnGrace,
+                                        this->clock.now() + longest);
     }
     return true;
 }
@@ -48,6 +54,17 @@
         > 0;
 }
 
+std::optional<TimePoint> Presence::nextExpiry() const
+{
+    std::optional<TimePoint> next;
+    for (const auto &[id, entry] : this->entries) {
+        if (entry.dropAt && (!next || *entry.dropAt < *next)) {
+            next = entry.dropAt;
+        }
+    }
+    return next;
+}
+
 std::vector<UpstreamRef> Presence::list() const
 {
     std::vector<UpstreamRef> all;
--- a/libs/upstreams/tests/PresenceTest.cpp
+++ b/libs/upstreams/tests/PresenceTest.cpp
@@ -47,6 +47,27 @@
     CHECK(presence.list().front()->id == "back");
 }
 
+// Guards against requests to an upstream that has left for good right after this instance lost the
+// store for a moment: its removal was taken for a lapse for two seconds and more.
+TEST_CASE("a registration that is removed right after the store's return is dropped in time")
+{
+    ManualClock clock;
+    PresenceOptions options;
+    options.drain = milliseconds(2000);
+    Presence presence(options, clock);
+    presence.onRegistered(record("gone"));
+    presence.onStoreReturned();
+    clock.advance(milliseconds(100));
+    presence.onRemoved("gone");
+    // The rest of the two seconds is for the request that has been assigned to it last.
+    clock.advance(milliseconds(1700));
+    REQUIRE(presence.nextExpiry());
+    CHECK(*presence.nextExpiry() <= clock.now());
+    CHECK(presence.expire());
+    CHECK(presence.list().empty());
+    CHECK_FALSE(presence.nextExpiry());
+}
+
 TEST_CASE("an upstream that said it leaves is not kept by an outage")
 {
     ManualClock clock;
