A restarted instance learns which requests crash upstreams

A repair now carries crashes too. Only an instance that started within the last ten seconds takes them, and it does not pass them on: running instances forget crashes one after the other, and would bring them back to each other for ever. The first repair no longer waits five seconds when another instance calls before the first round.

Test "an instance that starts learns which requests have crashed upstreams" fails without the change; "a crash that the others have forgotten is not brought back by a start or a repair" holds the bound of the memory.

--- a/libs/membership/include/membership/Gossip.h
+++ b/libs/membership/include/membership/Gossip.h
@@ -24,7 +24,10 @@
     int sendFactor = 3;                   ///< A rumor is sent sendFactor * log2(members) times.
     int indirectProbes = 2;               ///< Members asked to try one that did not answer.
     Duration repairInterval = seconds(5); ///< At most one repair is started in this time.
-    Duration unknownRetry = seconds(2);   ///< Unknown members are tried again this often.
+    /// After its start an instance takes what isToldAtStart() from repairs. Later ones would bring
+    /// back what it has forgotten.
+    Duration startTime = seconds(10);
+    Duration unknownRetry = seconds(2); ///< Unknown members are tried again this often.
 };
 
 enum class GossipPurpose : std::uint8_t {
@@ -87,6 +90,7 @@
 
 private:
     void take(const GossipMessage &message);
+    void takeRumor(const Rumor &rumor, const GossipMessage &message, int maxSends);
     void tellSelf();
     int maxSends() const;
     std::optional<Outgoing> exchangeWith(const std::string &name, GossipPurpose purpose);
@@ -102,6 +106,7 @@
     RumorStore rumors;
     std::map<std::string, Endpoint, std::less<>> seeds;
     std::mt19937_64 random;
+    const TimePoint startedAt;
     TimePoint lastHeard;
     TimePoint lastRepair;
     TimePoint lastUnknownTry;
--- a/libs/membership/include/membership/Rumor.h
+++ b/libs/membership/include/membership/Rumor.h
@@ -56,4 +56,11 @@
     return kind <= RumorKind::InForce;
 }
 
+/// True for kinds that are forgotten after a while and that an instance must learn when it starts:
+/// those that were told before are not told again.
+constexpr bool isToldAtStart(RumorKind kind)
+{
+    return kind == RumorKind::Crash;
+}
+
 } // namespace basilnotch
--- a/libs/membership/include/membership/RumorStore.h
+++ b/libs/membership/include/membership/RumorStore.h
@@ -22,6 +22,8 @@
     /// Takes `rumor` if it is news; true when it was. `maxEntries` bounds the store: a new id
     /// beyond it is refused and counted.
     bool merge(const Rumor &rumor);
+    /// Like merge(), but does not pass the rumor on.
+    bool adopt(const Rumor &rumor);
     const Rumor *find(const RumorId &id) const;
     void forEach(RumorKind kind, const std::function<void(const Rumor &)> &visit) const;
     /// Forgets rumors of a kind that `isOver` names. Only for kinds that are not repaired: a peer
@@ -33,7 +35,7 @@
     /// `peer` has told a rumor. It is not sent there again; the more peers tell one that was known,
     /// the fewer sends it needs.
     void onHeard(const Rumor &rumor, std::string_view peer, int maxSends);
-    /// All rumors of the repaired kinds.
+    /// All rumors of the repaired kinds, and those told at a start.
     std::vector<Rumor> repaired() const;
     /// Equal on two stores that hold equal rumors of the repaired kinds.
     std::uint64_t digest() const { return this->digestValue; }
--- a/libs/membership/src/Gossip.cpp
+++ b/libs/membership/src/Gossip.cpp
@@ -15,8 +15,9 @@
     , clock(clock)
     , rumors(seed)
     , random(seed)
+    , startedAt(clock.now())
     , lastHeard(clock.now())
-    , lastRepair(clock.now())
+    , lastRepair(clock.now() - options.repairInterval)
     , lastUnknownTry(clock.now())
 {
     this->tellSelf();
@@ -167,17 +168,28 @@
     this->probesFailed.erase(message.from);
     const int maxSends = this->maxSends(); // Counts all members: once a message, not once a rumor.
     for (const Rumor &rumor : message.rumors) {
-        if (rumor.id == RumorId{RumorKind::Member, this->me.name}) {
-            if (rumor.version > this->myVersion) {
-                // A suspicion, or the word of an earlier process of this name: speak above it.
-                this->myVersion = (rumor.version | 1) + 1;
-                this->tellSelf();
-            }
-            continue;
+        this->takeRumor(rumor, message, maxSends);
+    }
+}
+
+void Gossip::takeRumor(const Rumor &rumor, const GossipMessage &message, int maxSends)
+{
+    if (rumor.id == RumorId{RumorKind::Member, this->me.name}) {
+        if (rumor.version > this->myVersion) {
+            // A suspicion, or the word of an earlier process of this name: speak above it.
+            this->myVersion = (rumor.version | 1) + 1;
+            this->tellSelf();
         }
-        this->rumors.merge(rumor);
-        this->rumors.onHeard(rumor, message.from, maxSends);
+        return;
+    }
+    if (message.purpose == GossipPurpose::Repair && isToldAtStart(rumor.id.kind)) {
+        if (this->clock.now() - this->startedAt < this->options.startTime) {
+            this->rumors.adopt(rumor);
+        }
+        return;
     }
+    this->rumors.merge(rumor);
+    this->rumors.onHeard(rumor, message.from, maxSends);
 }
 
 GossipMessage Gossip::onMessage(const GossipMessage &message)
--- a/libs/membership/src/RumorStore.cpp
+++ b/libs/membership/src/RumorStore.cpp
@@ -33,6 +33,15 @@
 } // namespace
 
 bool RumorStore::merge(const Rumor &rumor)
+{
+    if (!this->adopt(rumor)) {
+        return false;
+    }
+    this->queue[{static_cast<int>(rumor.id.kind), 0}].push_back(rumor.id);
+    return true;
+}
+
+bool RumorStore::adopt(const Rumor &rumor)
 {
     auto found = this->entries.find(rumor.id);
     if (found == this->entries.end()) {
@@ -48,7 +57,6 @@
         return false;
     }
     this->digestValue ^= rumorHash(rumor);
-    this->queue[{static_cast<int>(rumor.id.kind), 0}].push_back(rumor.id);
     return true;
 }
 
@@ -138,7 +146,7 @@
 {
     std::vector<Rumor> all;
     for (const auto &[id, entry] : this->entries) {
-        if (isRepaired(id.kind)) {
+        if (isRepaired(id.kind) || isToldAtStart(id.kind)) {
             all.push_back(entry.rumor);
         }
     }
--- a/libs/membership/tests/GossipTest.cpp
+++ b/libs/membership/tests/GossipTest.cpp
@@ -60,6 +60,18 @@
         }
     }
 
+    /// Starts an instance anew; it knows its seeds.
+    void restart(int number)
+    {
+        auto &node = this->nodes[static_cast<std::size_t>(number)];
+        Member self = node->self();
+        self.incarnation += "-again";
+        const auto seed = static_cast<std::uint64_t>(number) + 100;
+        node = std::make_unique<Gossip>(self, 2, GossipOptions{}, this->clock, seed);
+        node->addSeed("e0", this->nodes[0]->self().peers);
+        node->addSeed("e1", this->nodes[1]->self().peers);
+    }
+
     bool reaches(const std::string &from, const std::string &to) const
     {
         return !this->down.contains(from) && !this->down.contains(to);
@@ -223,6 +235,43 @@
     CHECK(net.nodes[5]->store().find({RumorKind::Hold, "small/v1/v2"}));
 }
 
+// Guards against requests that crash their upstreams and get through again at each instance that
+// has been restarted: crashes are told a few times and not repaired.
+TEST_CASE("an instance that starts learns which requests have crashed upstreams")
+{
+    Net net(6);
+    net.rounds(25);
+    const RumorId crash{RumorKind::Crash, "request-1"};
+    net.nodes[0]->tell({crash, 1, ""});
+    net.rounds(50);
+    net.restart(5);
+    net.rounds(10);
+    CHECK(net.nodes[5]->store().find(crash));
+}
+
+TEST_CASE("a crash that the others have forgotten is not brought back by a start or a repair")
+{
+    Net net(6);
+    net.rounds(25);
+    const RumorId crash{RumorKind::Crash, "request-1"};
+    net.nodes[0]->tell({crash, 1, ""});
+    net.rounds(100);
+    net.restart(5);
+    net.rounds(10);
+    for (int number = 0; number < 5; ++number) {
+        net.nodes[static_cast<std::size_t>(number)]->store().forget(
+            RumorKind::Crash, [](const Rumor &) { return true; });
+    }
+    net.nodes[1]->tell({{RumorKind::Hold, "small/v1/v2"}, 1, "errors"});
+    net.down = {"e5"};
+    net.rounds(50);
+    net.down.clear(); // A repair follows.
+    net.rounds(100);
+    for (int number = 0; number < 5; ++number) {
+        CHECK_FALSE(net.nodes[static_cast<std::size_t>(number)]->store().find(crash));
+    }
+}
+
 TEST_CASE("a leaving member says so to all")
 {
     Net net(4);
