A run that begins anew and ends early no longer completes a stream

A stream had broken off after event 2; the next upstream ignored Last-Event-Id, sent event 1 once more and ended its answer as complete.

StreamRelay now keeps the id of the last event of the answer at hand; an answer that ends before the last event that was sent is an interruption, which is resumed elsewhere or ends as incomplete. An answer without any event still completes a stream that its upstream frames as complete: it may have broken off right before its end.

--- a/kernel/src/relay/StreamRelay.cpp
+++ b/kernel/src/relay/StreamRelay.cpp
@@ -14,6 +14,9 @@
 bool StreamRelay::drainEvents(std::string *out)
 {
     while (const std::optional<SseEvent> event = this->reader.nextEvent()) {
+        if (event->id) {
+            this->lastReadId = event->id;
+        }
         if (event->id && this->lastSentId) {
             if (*event->id <= *this->lastSentId) {
                 continue;
@@ -46,6 +49,7 @@
                                  const StreamRelayHooks &hooks)
 {
     this->reader = SseReader();
+    this->lastReadId.reset();
     bool first = true;
     while (true) {
         const Duration pause = hooks.maxPause();
@@ -78,6 +82,9 @@
     if (!this->reader.rest().empty()) {
         return StreamOutcome::Interrupted; // The stream ended inside an event, so it is incomplete.
     }
+    if (this->lastReadId && this->lastReadId < this->lastSentId) {
+        return StreamOutcome::Interrupted; // It began anew and ended before what was already sent.
+    }
     if (answer.endsWithConnection() && hooks.isCutOff()) {
         return StreamOutcome::Interrupted;
     }
--- a/kernel/src/relay/StreamRelay.h
+++ b/kernel/src/relay/StreamRelay.h
@@ -57,7 +57,8 @@
     std::optional<std::int64_t> lastSentId; ///< Id of the last event sent to the caller.
     std::int64_t eventCount = 0;
     bool streamBegun = false;
-    SseReader reader; ///< Parses the current upstream's response.
+    SseReader reader;                       ///< Parses the current upstream's response.
+    std::optional<std::int64_t> lastReadId; ///< Id of the last event in that response.
 };
 
 } // namespace basilnotch
