A request whose upstream has left while it connected is not sent

A request was bound to its upstream before connecting, which may take up to 250 ms; an upstream that said meanwhile that it leaves got it all the same, that much later (DRAIN, found by reading). The question whether a request is still wanted, asked right before it is written, now includes whether its upstream is in use. A connection that was given up this way, or by the caller, says nothing about the upstream. Covered by the groups site_upstreams and site_cancel; no test of its own, as the moment between connecting and writing can't be set from outside.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -281,6 +281,12 @@
     return std::max(fromSeconds(kFirstAttemptShare * toSeconds(left)), std::min(left, route.goal));
 }
 
+bool RequestForwarder::isInUse(const UpstreamRecord &upstream) const
+{
+    const UpstreamRef current = this->context.control.view()->upstreams->find(upstream.id);
+    return current && current->state == UpstreamState::Ready;
+}
+
 RequestForwarder::AttemptOutcome RequestForwarder::attempt(UpstreamLease &lease)
 {
     const UpstreamRecord &upstream = lease.upstream();
@@ -310,7 +316,9 @@
     options.freshConnection = !this->request.route->mayRunAgain();
     options.correlation =
         Correlation{this->context.requestCodec.correlationHeader(), this->request.caller.requestId};
-    options.isStillWanted = [this] { return !this->isWithdrawn && !this->exchange.callerGone(); };
+    options.isStillWanted = [this, &upstream] {
+        return !this->isWithdrawn && !this->exchange.callerGone() && this->isInUse(upstream);
+    };
     ++this->connectAttempts;
     this->currentAttempt = &attempt;
     this->executionTracker.onSend();
@@ -321,7 +329,7 @@
     if (!answer.ok() && sendProgress(answer.status()) == SendProgress::NothingSent) {
         this->executionTracker.onNotExecuted();
         this->lastError = "no connection to the upstream";
-        if (!this->isWithdrawn && !this->exchange.callerGone()) {
+        if (!absl::IsCancelled(answer.status())) {
             lease.setResult(AttemptResult::ConnectFailed);
         }
         return AttemptOutcome::NotSent;
--- a/kernel/src/relay/RequestForwarder.h
+++ b/kernel/src/relay/RequestForwarder.h
@@ -99,6 +99,8 @@
     void interrupt();
     /// Whether the request itself, or a part of its prompt, crashes the upstreams that run it.
     bool isQuarantined() const;
+    /// Whether `upstream` may still get requests. It may have left since it was picked.
+    bool isInUse(const UpstreamRecord &upstream) const;
     /// Whether the request may be sent to another upstream after `outcome`; consumes retry budget.
     bool tryAcquireRetry(AttemptOutcome outcome);
     Duration responseTimeout() const;
