What instances believe of the store's access is corrected, and silence ends trust in others

A restarted instance said "the store refuses me" with a version below that of its earlier process, so all, itself included, went on to hold the earlier word, or a refusal outlived its process: on large sites such an instance took or left a place among those that watch for all. Each tick now tells the state again if the rumor that is known differs. Test "a restarted instance corrects what its earlier process said of the store" fails when it is told once only.

An instance of a large site that hears no other instance for a second relied on watchers that it could not hear; it now watches the tables itself.

--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -34,6 +34,8 @@
 /// Instances that watch a table for all. The store may refuse a third of them at the same time.
 constexpr std::size_t kMaxTableWatchersSmallSite = 4;
 constexpr std::size_t kMaxTableWatchersLargeSite = 8;
+/// Without a message of any other instance. Some rounds of gossip.
+constexpr Duration kIsolationTime = milliseconds(1000);
 /// Two rounds of gossip: a starting instance learns of the others before it computes its own
 /// assignments. Changes in this time are read afterwards, so it must be short against the time
 /// limit for a change to take effect.
@@ -213,25 +215,25 @@
     if (isAvailable) {
         this->presence.onStoreReturned();
     }
-    // The version must exceed that of an earlier process of this instance, so it continues from the
-    // known rumor and does not depend on a clock.
-    const RumorId id{RumorKind::StoreAccess, this->settings.instance};
-    const Rumor *before = this->gossip.store().find(id);
-    this->gossip.tell({id, before ? before->version + 1 : 1, isAvailable ? "1" : "0"});
+    tellStoreAccess(this->gossip, isAvailable);
     this->updateAssignments();
 }
 
 void SiteControl::selectWatchedTables(const std::vector<std::string> &candidates)
 {
     const std::size_t count = candidates.size();
+    // An instance that hears nothing from the others must not rely on those that watch for it.
+    const bool isIsolated = this->gossip.sinceHeard() >= kIsolationTime;
     for (const std::string &table : this->tables) {
-        const std::size_t rank = rendezvousRank(table, this->settings.instance, candidates);
+        const std::size_t rank =
+            isIsolated ? 0 : rendezvousRank(table, this->settings.instance, candidates);
         const std::size_t maxWatchers = count > kMaxSmallSiteInstances ? kMaxTableWatchersLargeSite
                                                                        : kMaxTableWatchersSmallSite;
         const bool all = count <= kMaxSmallSiteInstances && table != kInternalTable;
         // An instance that the store refuses is no candidate, but goes on watching such a table.
-        this->tableWatcher.setWatchers(
-            table, rank, all ? std::max(count, rank + 1) : std::min(maxWatchers, count));
+        const std::size_t watchers = all ? std::max(count, rank + 1)
+                                         : std::max<std::size_t>(1, std::min(maxWatchers, count));
+        this->tableWatcher.setWatchers(table, rank, watchers);
     }
 }
 
@@ -406,6 +408,7 @@
     this->dropExpiredRumors();
     const std::shared_ptr<const SiteView> current = this->published.get();
     this->rollouts.tick(this->tableWatcher.storeTime(), *current->upstreams);
+    tellStoreAccess(this->gossip, this->tableWatcher.isAvailable());
     this->updateAssignments();
     if (this->rollouts.revision() != this->publishedRolloutRevision) {
         this->publishSoon();
--- a/kernel/src/site/TableWatcher.h
+++ b/kernel/src/site/TableWatcher.h
@@ -67,6 +67,8 @@
     void setWatchers(const std::string &table, std::size_t rank, std::size_t watchers);
     /// False after a failed call, until the next call succeeds.
     bool lastCallSucceeded() const { return this->consecutiveFailures == 0; }
+    /// Whether the store counts as available; see TableWatcherListener::onAvailability.
+    bool isAvailable() const { return this->available.isSet(); }
     /// Current time of the store's steady clock; empty before the store's first answer.
     std::optional<Duration> storeTime() const;
 
