An upstream whose record becomes unreadable after an outage is dropped at once

Such a record names no upstream to use.

A removal is learned of latest right after a loss of the store, so the margin for it grows to 400 ms.

--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -319,7 +319,7 @@
         this->log.write(LogKind::State, "record unreadable",
                         {{"record", record.key.name}, {"version", version}, {"why", why}});
         // An upstream whose record is malformed must not be used.
-        this->presence.onRemoved(record.key.name);
+        this->presence.drop(record.key.name);
         return;
     }
     if (auto *configured = std::get_if<CatalogUpdate>(&*update)) {
--- a/libs/upstreams/include/upstreams/Presence.h
+++ b/libs/upstreams/include/upstreams/Presence.h
@@ -19,7 +19,7 @@
     /// No request may reach an upstream this long after its registration has gone for good.
     Duration drain = std::chrono::milliseconds(2000);
     /// Part of `drain` for learning of the removal, and for a request that is being sent.
-    Duration drainMargin = std::chrono::milliseconds(300);
+    Duration drainMargin = std::chrono::milliseconds(400);
 };
 
 /// Control thread only.
@@ -36,6 +36,8 @@
     bool onRemoved(const std::string &id);
     /// Drops upstreams whose time is over; true when the list has changed by it.
     bool expire();
+    /// The registration can't be used any more. Nothing is kept.
+    void drop(const std::string &id);
     /// When expire() is to be called next; empty when no upstream is kept without a registration.
     std::optional<TimePoint> nextExpiry() const;
     /// Everything that counts as there.
--- a/libs/upstreams/src/Presence.cpp
+++ b/libs/upstreams/src/Presence.cpp
@@ -45,6 +45,11 @@
     return true;
 }
 
+void Presence::drop(const std::string &id)
+{
+    this->entries.erase(id);
+}
+
 bool Presence::expire()
 {
     const TimePoint now = this->clock.now();
