A fetch of a record no longer waits for peers that are away

A configuration too large for a rumor is fetched from up to twelve members, asked one after the other with 400 ms each. A member that is away but not yet known to be, or has too little processor time to answer, cost 400 ms, in which nobody else was asked: 4.8 s at worst.

Callers saw a change late at some instances: 401 or 404 from the old configuration.

Change: when a peer has not answered after 100 ms, the next one is asked as well. A fetch ends when the record is there, from whomever, and asks the same number of peers at most, within 1.2 s and one call's timeout.

--- a/kernel/src/site/RecordGossip.cpp
+++ b/kernel/src/site/RecordGossip.cpp
@@ -9,6 +9,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <memory>
 
 namespace basilnotch {
 
@@ -21,6 +22,9 @@
 constexpr std::size_t kMaxInlineBytes = 700;  // A gossip message has room for more than one.
 constexpr std::size_t kMaxFetchAttempts = 12; // Few peers may have a new record yet.
 constexpr Duration kFetchTimeout = milliseconds(400);
+/// After this the next peer is asked as well. Above the usual time of an answer, so that a large
+/// record is seldom sent twice.
+constexpr Duration kNextPeerDelay = milliseconds(100);
 
 std::string rumorName(const RecordKey &key)
 {
@@ -110,53 +114,80 @@
     if (!this->fetching.insert(key).second) {
         return;
     }
-    this->runtime.spawn([this, key, version] {
-        std::vector<Member> members = readMembers(this->gossip.store());
-        std::erase_if(members, [this](const Member &member) {
-            return member.name == this->gossip.self().name || member.state == MemberState::Unknown;
-        });
-        // A new order each time: members that are away or have not got the record either would
-        // otherwise be asked again and again.
-        std::shuffle(members.begin(), members.end(), this->random);
-        members.resize(std::min(members.size(), kMaxFetchAttempts));
-        const TimePoint beganAt = this->clock.now();
-        FetchProgress progress;
-        bool found = false;
-        for (const Member &member : members) {
-            const auto reply = this->peers.call(member.peers, PeerMessageKind::FetchRecord,
-                                                rumorName(key), kFetchTimeout);
-            ++progress.asked;
-            progress.unreachable += reply.ok() ? 0 : 1;
-            const std::size_t line = reply.ok() ? reply->find('\n') : std::string::npos;
-            if (line == std::string::npos) {
-                continue;
-            }
-            Record record{key, reply->substr(line + 1), 0, false};
-            const bool readable = absl::SimpleAtoi(reply->substr(0, line), &record.version);
-            if (readable && record.version >= version) {
-                this->onRecord(record);
-                found = true;
+    auto fetch = std::make_shared<Fetch>();
+    fetch->key = key;
+    fetch->version = version;
+    fetch->beganAt = this->clock.now();
+    this->runtime.spawn([this, fetch] {
+        for (const Member &member : this->fetchCandidates()) {
+            // A member that is away must not hold up the others, so the next one is asked as well.
+            ++fetch->asked;
+            ++fetch->pending;
+            this->runtime.spawn([this, fetch, member] { this->ask(*fetch, member); });
+            (void)fetch->answered.waitFor(kNextPeerDelay);
+            fetch->answered.reset();
+            if (this->isKnown(*fetch)) {
                 break;
             }
         }
-        this->onFetchEnded(key, version, found, progress, beganAt);
-        this->fetching.erase(key);
+        while (fetch->pending > 0 && !this->isKnown(*fetch)) {
+            (void)fetch->answered.waitFor(kFetchTimeout);
+            fetch->answered.reset();
+        }
+        this->onFetchEnded(*fetch);
+        this->fetching.erase(fetch->key);
         // Gossip is processed again: the fetch may have failed, or a newer version may exist.
         this->processedDigest = 0;
     });
 }
 
-void RecordGossip::onFetchEnded(const RecordKey &key, RecordVersion version, bool found,
-                                const FetchProgress &progress, TimePoint beganAt)
+std::vector<Member> RecordGossip::fetchCandidates()
+{
+    std::vector<Member> members = readMembers(this->gossip.store());
+    std::erase_if(members, [this](const Member &member) {
+        return member.name == this->gossip.self().name || member.state == MemberState::Unknown;
+    });
+    // A new order each time: members that have not got the record either would otherwise be asked
+    // again and again.
+    std::shuffle(members.begin(), members.end(), this->random);
+    members.resize(std::min(members.size(), kMaxFetchAttempts));
+    return members;
+}
+
+bool RecordGossip::isKnown(const Fetch &fetch) const
+{
+    const Record *known = this->replica.find(fetch.key);
+    return known && known->version >= fetch.version;
+}
+
+void RecordGossip::ask(Fetch &fetch, const Member &member)
+{
+    const auto reply = this->peers.call(member.peers, PeerMessageKind::FetchRecord,
+                                        rumorName(fetch.key), kFetchTimeout);
+    --fetch.pending;
+    fetch.unreachable += reply.ok() ? 0 : 1;
+    const std::size_t line = reply.ok() ? reply->find('\n') : std::string::npos;
+    if (line != std::string::npos) {
+        Record record{fetch.key, reply->substr(line + 1), 0, false};
+        if (absl::SimpleAtoi(reply->substr(0, line), &record.version)
+            && record.version >= fetch.version) {
+            this->onRecord(record);
+        }
+    }
+    fetch.answered.set();
+}
+
+void RecordGossip::onFetchEnded(const Fetch &fetch)
 {
+    const bool found = this->isKnown(fetch);
     this->fetches.add();
     this->failedFetches.add(found ? 0 : 1);
     this->log.write(LogKind::State, found ? "record fetched" : "record not fetched",
-                    {{"record", key.name},
-                     {"version", static_cast<std::int64_t>(version)},
-                     {"asked", std::int64_t{progress.asked}},
-                     {"unreachable", std::int64_t{progress.unreachable}},
-                     {"tookMs", wholeMillis(this->clock.now() - beganAt)}});
+                    {{"record", fetch.key.name},
+                     {"version", static_cast<std::int64_t>(fetch.version)},
+                     {"asked", std::int64_t{fetch.asked}},
+                     {"unreachable", std::int64_t{fetch.unreachable}},
+                     {"tookMs", wholeMillis(this->clock.now() - fetch.beganAt)}});
 }
 
 } // namespace basilnotch
--- a/kernel/src/site/RecordGossip.h
+++ b/kernel/src/site/RecordGossip.h
@@ -8,12 +8,14 @@
 #include <base/Clock.h>
 #include <membership/Gossip.h>
 #include <replica/Replica.h>
+#include <runtime/FiberEvent.h>
 #include <telemetry/EventLog.h>
 #include <telemetry/Metrics.h>
 
 #include <functional>
 #include <random>
 #include <set>
+#include <vector>
 
 namespace basilnotch {
 
@@ -34,17 +36,27 @@
     void processRumors();
 
 private:
-    /// The peers that a fetch has asked so far.
-    struct FetchProgress
+    /// A fetch under way, shared by the fibers of its calls.
+    struct Fetch
     {
-        int asked = 0;
+        RecordKey key;
+        RecordVersion version = 0; ///< Least version that is wanted.
+        TimePoint beganAt{};
+        int asked = 0;       ///< Peers.
+        int pending = 0;     ///< Of these: calls under way.
         int unreachable = 0; ///< Of these: no answer in time.
+        FiberEvent answered; ///< Set at the end of each call.
     };
 
     void fetch(const RecordKey &key, RecordVersion version);
-    /// Logs and counts the end of a fetch that began at `beganAt`.
-    void onFetchEnded(const RecordKey &key, RecordVersion version, bool found,
-                      const FetchProgress &progress, TimePoint beganAt);
+    /// The peers to ask, in this order.
+    std::vector<Member> fetchCandidates();
+    /// The replica has the record, from whomever.
+    bool isKnown(const Fetch &fetch) const;
+    /// Asks one peer and waits for its answer.
+    void ask(Fetch &fetch, const Member &member);
+    /// Logs and counts the end of a fetch.
+    void onFetchEnded(const Fetch &fetch);
     std::string handleFetch(const std::string &name) const;
 
     FiberRuntime &runtime;
