A store that has ended its connections is asked again at once

When the store ends its connections, the watches of all tables end in the same millisecond. Each counted as a failure of its own, so that the first retry had the delay of the fourth, and it began only after the pause until the next check of the tables. The instance learned of nothing from the store for up to 1.9 s although the store answered, and then kept an upstream whose registration had ended meanwhile for 1.7 s more: an instance that no peer told sent it requests for more than 2 s.

The fiber that checks the tables now wakes when the store is lost, and failures of calls that have ended together count once for the retry delay. The delay goes on growing if the store is lost again within the longest delay after its return.

--- a/kernel/src/site/TableWatcher.cpp
+++ b/kernel/src/site/TableWatcher.cpp
@@ -88,6 +88,7 @@
         if (isRead) {
             (void)this->watching.at(table).waitFor(std::chrono::hours(1));
         }
+        const TimePoint beganAt = this->clock.now();
         const absl::StatusOr<RecordPage> page = this->fetch(table);
         if (page.ok()) {
             this->clockOffset = page->storeTime - this->clock.now().time_since_epoch();
@@ -108,7 +109,7 @@
                 {{"table", table}, {"after", static_cast<std::int64_t>(this->known[table])}});
             this->known.erase(table);
         } else if (!absl::IsCancelled(page.status())) {
-            this->onFailure(table, page.status());
+            this->onFailure(table, page.status(), beganAt);
             this->runtime.sleepFor(this->retryDelay());
         }
     }
@@ -134,12 +135,14 @@
         if (this->consecutiveFailures == 0) {
             // The store's clock gives all instances the same turns.
             const Duration now = this->storeTime().value_or(Duration::zero());
-            this->runtime.sleepFor(this->options.checkInterval - now % this->options.checkInterval);
-            this->checkTablesInTurn();
+            const Duration pause = this->options.checkInterval - now % this->options.checkInterval;
+            if (!this->unavailable.waitFor(pause)) {
+                this->checkTablesInTurn();
+            }
             continue;
         }
         this->runtime.sleepFor(
-            std::max(this->options.initialRetryDelay, this->retryDelay() - lastRetryTook));
+            std::max(this->options.initialRetryDelay / 2, this->retryDelay() - lastRetryTook));
         const TimePoint retriedAt = this->clock.now();
         if (!this->known.empty() && this->consecutiveFailures > 0) {
             this->checkTable(this->known.begin()->first);
@@ -164,6 +167,7 @@
 void TableWatcher::checkTable(const std::string &table)
 {
     this->calls.add();
+    const TimePoint beganAt = this->clock.now();
     const RecordVersion before = this->known.at(table);
     const auto page = this->store.watch(table, before, Duration::zero());
     if (page.ok()) {
@@ -181,7 +185,7 @@
         this->onAnswer();
         this->renewWatch(table); // It finds the history gone as well and reads the table.
     } else {
-        this->onFailure(table, page.status());
+        this->onFailure(table, page.status(), beganAt);
     }
 }
 
@@ -204,9 +208,11 @@
     const bool mayHaveLostWatches = this->hasTimedOut;
     this->consecutiveFailures = 0;
     this->hasTimedOut = false;
+    this->answeringSince = this->clock.now();
     if (wasUnavailable) {
         this->log.write(LogKind::State, "store regained",
                         {{"awayMs", wholeMillis(this->clock.now() - this->firstFailureAt)}});
+        this->unavailable.reset();
         this->available.set();
         this->listener.onAvailability(true);
     }
@@ -223,16 +229,28 @@
     this->store.cancelWatch(table);
 }
 
-void TableWatcher::onFailure(const std::string &table, const absl::Status &status)
+void TableWatcher::onFailure(const std::string &table, const absl::Status &status,
+                             TimePoint beganAt)
 {
+    const TimePoint now = this->clock.now();
+    if (this->consecutiveFailures == 0
+        && now - this->answeringSince >= this->options.maxRetryDelay) {
+        this->failedRounds = 0;
+    }
+    // Calls that one disruption has ended together count once.
+    if (this->failedRounds == 0 || beganAt >= this->latestFailureAt) {
+        ++this->failedRounds;
+    }
+    this->latestFailureAt = now;
     this->failedCalls.add();
     ++this->consecutiveFailures;
     this->hasTimedOut = this->hasTimedOut || absl::IsDeadlineExceeded(status);
     if (this->consecutiveFailures == 1) {
-        this->firstFailureAt = this->clock.now();
+        this->firstFailureAt = now;
     }
     if (this->consecutiveFailures == kFailuresUntilUnavailable) {
         this->available.reset();
+        this->unavailable.set();
         const std::string why = describe(status);
         this->log.write(LogKind::State, "store lost", {{"table", table}, {"why", why}});
         this->listener.onAvailability(false);
@@ -241,7 +259,7 @@
 
 Duration TableWatcher::retryDelay()
 {
-    const int doublings = std::clamp(this->consecutiveFailures - 1, 0, 10);
+    const int doublings = std::clamp(this->failedRounds - 1, 0, 10);
     const Duration longest =
         std::min(this->options.initialRetryDelay * (1 << doublings), this->options.maxRetryDelay);
     // Jitter keeps instances from retrying together.
--- a/kernel/src/site/TableWatcher.h
+++ b/kernel/src/site/TableWatcher.h
@@ -89,7 +89,8 @@
     /// Applies `page`, the answer to a call for the changes after the known version.
     void applyChanges(const std::string &table, const RecordPage &page);
     void onAnswer();
-    void onFailure(const std::string &table, const absl::Status &status);
+    /// `beganAt` is the start of the call that has failed.
+    void onFailure(const std::string &table, const absl::Status &status, TimePoint beganAt);
     /// Ends the watch of `table` that is under way, if any. It starts anew from the known version.
     void renewWatch(const std::string &table);
     Duration retryDelay();
@@ -106,14 +107,20 @@
     Counter &renewedWatches;
     std::mt19937_64 random;
     FiberEvent available;                       ///< Set while the store is available.
+    FiberEvent unavailable;                     ///< Invariant: set when `available` is not.
     std::map<std::string, FiberEvent> watching; ///< By table; set while the table is watched.
     std::map<std::string, WatchShare> shares;   ///< By table.
     std::map<std::string, RecordVersion> known; ///< By table, once it has been read.
     int consecutiveFailures = 0;                ///< Over all tables.
-    bool hasTimedOut = false;                   ///< One of these failures is a timeout.
+    /// Failures one after the other, since the store last was available for longer than a retry
+    /// takes. Sets the time until the next retry.
+    int failedRounds = 0;
+    bool hasTimedOut = false; ///< One of these failures is a timeout.
     bool stopping = false;
     std::size_t activeFibers = 0;
-    TimePoint firstFailureAt{};          ///< Of the latest series of failures.
+    TimePoint firstFailureAt{}; ///< Of the latest series of failures.
+    TimePoint latestFailureAt{};
+    TimePoint answeringSince{};          ///< First answer after the latest failure.
     std::optional<Duration> clockOffset; ///< Store's clock minus local clock.
 };
 
--- a/kernel/tests/TableWatcherTest.cpp
+++ b/kernel/tests/TableWatcherTest.cpp
@@ -63,8 +63,12 @@
         if (!isLost && after < this->oldestKept) {
             return absl::OutOfRangeError("history gone");
         }
-        const TimePoint until = SystemClock().now() + wait + (isLost ? kCallTimeout : Duration());
+        const TimePoint began = SystemClock().now();
+        const TimePoint until = began + wait + (isLost ? kCallTimeout : Duration());
         while (SystemClock().now() < until && (isLost || this->changes[name] <= after)) {
+            if (wait > Duration::zero() && began < this->endedAt) {
+                return absl::UnavailableError("end of stream");
+            }
             if (wait > Duration::zero() && this->cancelled.contains(name)) {
                 return absl::CancelledError("cancelled");
             }
@@ -93,6 +97,9 @@
         return this->changes[table] = ++this->version;
     }
 
+    /// Of the watches under way.
+    void endConnections() { this->endedAt = SystemClock().now(); }
+
     Mood mood = Mood::Answers;
     bool losesWatches = false;    ///< Those that begin now, and only these.
     RecordVersion oldestKept = 0; ///< Watches from before are told that the history is gone.
@@ -100,6 +107,7 @@
 
 private:
     FiberRuntime &runtime;
+    TimePoint endedAt{}; ///< Watches from before have ended.
     RecordVersion version = 1;
     std::map<std::string, RecordVersion> changes; ///< Latest change of each table.
     std::set<std::string> cancelled;
@@ -114,10 +122,10 @@
 /// A watcher of two tables, and what it has told.
 struct Watched
 {
-    explicit Watched(FiberRuntime &runtime)
+    explicit Watched(FiberRuntime &runtime, TableWatcherOptions options = Watched::options())
         : runtime(runtime)
         , store(runtime)
-        , watcher(runtime, this->store, {kFirst, kSecond}, options(),
+        , watcher(runtime, this->store, {kFirst, kSecond}, options,
                   {[this](const auto &table, const auto &page) { this->onPage(table, page); },
                    [this](const auto &table, const auto &page) { this->onPage(table, page); },
                    [this](bool isAvailable) { this->isAvailable = isAvailable; }},
@@ -166,10 +174,11 @@
     TableWatcher watcher;
 };
 
-void withWatcher(const std::function<void(Watched &)> &test)
+void withWatcher(const std::function<void(Watched &)> &test,
+                 TableWatcherOptions options = Watched::options())
 {
     inFiber([&](FiberRuntime &runtime) {
-        Watched watched(runtime);
+        Watched watched(runtime, options);
         test(watched);
         watched.watcher.stop();
         while (!watched.watcher.hasStopped()) {
@@ -272,3 +281,28 @@
         CHECK(watched.store.calls == before);
     });
 }
+
+// Guards against changes that wait for the next check after the store has ended its connections.
+TEST_CASE("a store that ends all watches at once is asked again at once", "[watcher]")
+{
+    TableWatcherOptions options = Watched::options();
+    options.checkInterval = seconds(2);
+    options.initialRetryDelay = milliseconds(20);
+    options.maxRetryDelay = seconds(2);
+    withWatcher(
+        [&options](Watched &watched) {
+            constexpr Duration kLongest = milliseconds(500);
+            for (int time = 0; time < 3; ++time) {
+                watched.store.endConnections();
+                watched.sleep(milliseconds(10)); // The watches have noticed.
+                const RecordVersion version = watched.store.change(kSecond);
+                watched.store.change(kFirst);
+                const TimePoint changedAt = watched.clock.now();
+                CHECK(watched.learns(kSecond, version));
+                CHECK(watched.clock.now() - changedAt < kLongest);
+                CHECK(watched.isAvailable);
+                watched.sleep(options.maxRetryDelay);
+            }
+        },
+        options);
+}
--- a/tools/standins/CuttingRelay.cpp
+++ b/tools/standins/CuttingRelay.cpp
@@ -9,6 +9,8 @@
 #include <array>
 #include <atomic>
 #include <limits>
+#include <utility>
+#include <vector>
 
 namespace basilnotch {
 
@@ -180,6 +182,19 @@
         using enum RelayDirection;
         std::make_shared<Pipe>(caller, callee, ToTarget, this->trouble)->read();
         std::make_shared<Pipe>(callee, caller, ToCaller, this->trouble)->read();
+        std::erase_if(this->open, [](const auto &socket) { return socket.expired(); });
+        this->open.push_back(caller);
+        this->open.push_back(callee);
+    }
+
+    void endOpen()
+    {
+        for (const std::weak_ptr<tcp::socket> &held : std::exchange(this->open, {})) {
+            if (const Socket socket = held.lock()) {
+                error_code ignored;
+                socket->shutdown(tcp::socket::shutdown_both, ignored);
+            }
+        }
     }
 
     FiberRuntime &runtime;
@@ -187,6 +202,7 @@
     const Endpoint target;
     tcp::acceptor acceptor;
     std::shared_ptr<Trouble> trouble = std::make_shared<Trouble>();
+    std::vector<std::weak_ptr<tcp::socket>> open; ///< Both ends of the connections; some are over.
 };
 
 CuttingRelay::CuttingRelay(FiberRuntime &runtime, Endpoint listen, Endpoint target)
@@ -225,6 +241,11 @@
     ++this->impl->trouble->mutes;
 }
 
+void CuttingRelay::endOpenConnections()
+{
+    this->impl->runtime.post([shared = this->impl] { shared->endOpen(); });
+}
+
 void CuttingRelay::resetAfter(RelayDirection direction, std::optional<std::size_t> bytes)
 {
     this->impl->trouble->resetAfter(direction) = bytes.value_or(kNoReset);
--- a/tools/standins/CuttingRelay.h
+++ b/tools/standins/CuttingRelay.h
@@ -31,6 +31,8 @@
     /// The connections that are open now take all bytes and forward none any more, nor their end.
     /// Later connections are not affected.
     void muteOpenConnections();
+    /// Ends the connections that are open now in order, as a peer that closes them does.
+    void endOpenConnections();
     /// Resets each connection, both ways, when more than `bytes` come in `direction` since it was
     /// made; what is above them is not forwarded. Nothing ends that.
     void resetAfter(RelayDirection direction, std::optional<std::size_t> bytes);
