A caller's stream holds the events of one run only

Cause: ChatRun kept events of a run in `unsent` while more had arrived, and held its finish mark there until the end. When the run broke off before these were written, nothing counted as delivered, so another upstream was asked; `unsent` was not cleared, and its events went out before those of the second run. The header had been taken from the first run as well. A stream that broke off between its finish mark and its end mark was resumed with the finish mark still in `unsent`.

Callers saw: a 200 with complete framing and the text of two runs ("first second"), after an event that is malformed, holds an error or belongs to another request, or after a cut behind a finish mark; and two finish marks in a resumed stream.

Change: a new run drops what the one before has left; the finish mark is held apart until the end mark, and a resumed engine sends it again, with its text; the header of a stream is written with its first part, so that it names the run the part is from, and a stream of which nothing was written is refused with a status.

--- a/kernel/src/traffic/ChatAnswer.cpp
+++ b/kernel/src/traffic/ChatAnswer.cpp
@@ -153,6 +153,10 @@
 
 void ChatRun::endStream()
 {
+    if (!this->streaming && !this->beginAnswer()) {
+        this->giveUp(*this->refusal);
+        return;
+    }
     const bool sent = this->exchange.endStream(this->unsent + "data: [DONE]\n\n").ok();
     this->delivered += sent ? this->unsentTokens : 0;
     this->closeReceipt(sent ? ReceiptState::Finished : ReceiptState::Cancelled);
--- a/kernel/src/traffic/ChatRun.cpp
+++ b/kernel/src/traffic/ChatRun.cpp
@@ -317,6 +317,9 @@
     *retry = false;
     this->answer.clear();
     this->tokens = 0;
+    this->unsent.clear();
+    this->unsentTokens = 0;
+    this->finishMark.reset();
     const DispatchResult waited = this->waitForUpstream(this->chain.models[stage]);
     if (waited.outcome == WaitOutcome::Cancelled || this->callerGone) {
         if (waited.outcome == WaitOutcome::Dispatched) {
@@ -375,6 +378,9 @@
             break;
         }
         if (!*token) {
+            if (this->finishMark) {
+                this->take(*this->finishMark);
+            }
             this->stageEnded(decision, CompletionStatus::Finished, sentAt);
             return StageEnd::Answered;
         }
@@ -428,6 +434,7 @@
         return false;
     }
     broken.cancel();
+    this->finishMark.reset(); // The engine sends it again.
     const UpstreamSettings &upstream =
         this->context.settings.upstreams[static_cast<std::size_t>(decision.choice.upstream)];
     ModelCallOptions options;
@@ -451,31 +458,27 @@
 
 absl::Status ChatRun::deliver(const ModelToken &token, bool moreAtOnce)
 {
-    const int counted = token.text.empty() ? 0 : 1; // The end mark is no token.
-    this->tokens += counted;
-    if (!this->request.streamed) {
-        this->answer += token.text;
-        if (this->answer.size()
-            > static_cast<std::size_t>(this->context.settings.limits.answerBytes)) {
-            this->refusal = Refusal{status::kUnavailable,
-                                    "answer_too_long",
-                                    "the answer is longer than limits.answerBytes",
-                                    RunState::Ran,
-                                    {},
-                                    {}};
-            return failure(absl::StatusCode::kResourceExhausted, "keep answer", "", "too long");
-        }
+    const auto limit = static_cast<std::size_t>(this->context.settings.limits.answerBytes);
+    if (!this->request.streamed && this->answer.size() + token.text.size() > limit) {
+        this->refusal = Refusal{status::kUnavailable,
+                                "answer_too_long",
+                                "the answer is longer than limits.answerBytes",
+                                RunState::Ran,
+                                {},
+                                {}};
+        return failure(absl::StatusCode::kResourceExhausted, "keep answer", "", "too long");
+    }
+    if (token.last) {
+        this->finishMark = token;
         return absl::OkStatus();
     }
-    this->answer += token.text;
+    this->take(token);
+    if (!this->request.streamed || moreAtOnce) {
+        return absl::OkStatus(); // It goes out with what comes at once: the next event or the end.
+    }
     if (!this->streaming && !this->beginAnswer()) {
         return failure(absl::StatusCode::kResourceExhausted, "open receipt", "", "no receipt");
     }
-    absl::StrAppend(&this->unsent, "data: ", token.event, "\n\n");
-    this->unsentTokens += counted;
-    if (moreAtOnce || token.last) {
-        return absl::OkStatus(); // It goes out with what comes at once: the next event or the end.
-    }
     const absl::Status sent = this->exchange.writeChunk(this->unsent);
     this->delivered += sent.ok() ? this->unsentTokens : 0;
     this->unsent.clear();
@@ -483,6 +486,17 @@
     return sent;
 }
 
+void ChatRun::take(const ModelToken &token)
+{
+    const int counted = token.text.empty() ? 0 : 1; // A finish mark without text is no token.
+    this->tokens += counted;
+    this->answer += token.text;
+    if (this->request.streamed) {
+        absl::StrAppend(&this->unsent, "data: ", token.event, "\n\n");
+        this->unsentTokens += counted;
+    }
+}
+
 void ChatRun::stageEnded(const DispatchDecision &decision, CompletionStatus end, TimePoint sentAt)
 {
     this->context.desk.onEnded(decision, end, this->context.clock.now() - sentAt);
--- a/kernel/src/traffic/ChatRun.h
+++ b/kernel/src/traffic/ChatRun.h
@@ -43,6 +43,8 @@
     StageEnd consume(ModelCall &call, const DispatchDecision &decision, TimePoint sentAt,
                      bool *retry);
     absl::Status deliver(const ModelToken &token, bool moreAtOnce);
+    /// Adds an event to the answer and, of a stream, to what goes out next.
+    void take(const ModelToken &token);
     bool resume(ModelCall &broken, const DispatchDecision &decision,
                 std::unique_ptr<ModelCall> *again);
     void stageEnded(const DispatchDecision &decision, CompletionStatus end, TimePoint sentAt);
@@ -89,9 +91,10 @@
     std::string answer;              ///< Text of the stage at hand.
     int tokens = 0;                  ///< Tokens of the stage at hand.
     int delivered = 0;               ///< Tokens that the caller has got.
-    std::string unsent;              ///< Events that go out with the next write.
+    std::string unsent;              ///< Events of the run at hand for the next write.
     int unsentTokens = 0;
-    bool streaming = false; ///< The header of the answer has been sent.
+    std::optional<ModelToken> finishMark; ///< Held back until the end mark: the run may break off.
+    bool streaming = false; ///< The caller may have got a part. Invariant: a new run needs false.
     int attempts = 0;
     UpstreamIndex failedUpstream = -1;
     std::optional<Refusal> refusal;
--- /dev/null
+++ b/tests/failure/CutAnswerTest.cpp
@@ -0,0 +1,285 @@
+// Upstreams whose answers are cut, restarted or wrongly framed, at every byte. What callers see is
+// judged on the socket: an answer framed as complete must be complete, and of one run.
+#include "Cluster.h"
+
+#include <RawServer.h>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+using namespace basilnotch;
+using namespace basilnotch::testing;
+
+namespace {
+
+using Reply = RawServer::Reply;
+using Then = RawServer::Then;
+using ChatScript = std::function<Reply(const std::string &request, int number)>;
+
+constexpr char kForeign[] = "TEXT-OF-THE-UPSTREAMS-ERROR";
+constexpr char kEndMark[] = "data: [DONE]\n\n";
+constexpr char kStreamHead[] = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n";
+constexpr char kLastChunk[] = "0\r\n\r\n";
+
+std::string framed(const std::string &status, const std::string &type, const std::string &body)
+{
+    return absl::StrCat("HTTP/1.1 ", status, "\r\nContent-Type: ", type,
+                        "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+}
+
+std::string chunked(const std::string &part)
+{
+    return absl::StrCat(absl::Hex(part.size()), "\r\n", part, "\r\n");
+}
+
+std::string event(const std::string &request, const std::string &text, bool last = false)
+{
+    return absl::StrCat(R"(data: {"id":")", rawField(request, "X-Request-Id"),
+                        R"(","choices":[{"index":0,"delta":{"content":")", text,
+                        R"("},"finish_reason":)", last ? R"("stop")" : "null", "}]}\n\n");
+}
+
+/// Loads are reported as an engine does; chat requests go to `chat`.
+RawServer::Script engine(ChatScript chat)
+{
+    return [chat = std::move(chat)](const std::string &request, int number) -> Reply {
+        if (request.find("/v1/chat/completions") != std::string::npos) {
+            return chat(request, number);
+        }
+        const bool asksLoad = request.find("/v1/load") != std::string::npos;
+        return {framed("200 OK", "application/json",
+                       asksLoad ? R"({"running":0,"queued":0,"queuedPrefillTokens":0,)"
+                                  R"("leaving":false,"loading":0,"ageMs":0,)"
+                                  R"("loaded":["small@v1"],"cacheEvents":[]})"
+                                : "{}"),
+                Then::Keep};
+    };
+}
+
+ClusterOptions oneEntry()
+{
+    ClusterOptions options;
+    options.entries = 1;
+    options.timing = R"("queueWaitMs": 3000)";
+    return options;
+}
+
+/// Replaces processes of a cluster by servers with this script.
+class Replaced
+{
+public:
+    Replaced(Cluster &cluster, const std::vector<std::string> &names, const RawServer::Script &with)
+    {
+        for (const std::string &name : names) {
+            if (cluster.isRunning(name)) {
+                cluster.kill(name);
+            }
+            this->servers.push_back(std::make_unique<RawServer>(cluster.address(name), with));
+            REQUIRE(this->servers.back()->isListening());
+        }
+    }
+
+private:
+    std::vector<std::unique_ptr<RawServer>> servers;
+};
+
+std::string keyField()
+{
+    return absl::StrCat("Authorization: Bearer ", Cluster::kKey, "\r\n");
+}
+
+RawAnswer rawChat(Cluster &cluster, const std::string &prompt, bool stream)
+{
+    return rawCall(cluster.entry(1), "POST", "/v1/chat/completions",
+                   keyField() + "X-Task: answer\r\nContent-Type: application/json\r\n",
+                   absl::StrCat(R"({"model":"small","max_tokens":8,"stream":)",
+                                stream ? "true" : "false",
+                                R"(,"messages":[{"role":"user","content":")", prompt, R"("}]})"));
+}
+
+RawAnswer rawConfirm(Cluster &cluster, const std::string &key)
+{
+    return rawCall(cluster.entry(1), "POST", "/orders/confirm",
+                   keyField() + "Idempotency-Key: " + key + "\r\n", R"({"pallets":3})");
+}
+
+/// Repeats a claimed call that has not run: a server that has cut an answer is left out for a
+/// while.
+RawAnswer claimedCall(Cluster &cluster, const std::string &key)
+{
+    RawAnswer answer;
+    cluster.eventually(seconds(8), [&] {
+        answer = rawConfirm(cluster, key);
+        return answer.body.find(R"("run":"not_run")") == std::string::npos;
+    });
+    return answer;
+}
+
+RawAnswer rawStock(Cluster &cluster)
+{
+    return rawCall(cluster.entry(1), "GET", "/stockroom/stock/fleece", keyField(), "");
+}
+
+int occurrences(const std::string &text, const std::string &part)
+{
+    int count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+bool isOk(const RawAnswer &answer)
+{
+    return answer.status / 100 == 2;
+}
+
+} // namespace
+
+// Guards against events of a run that broke off being sent before those of the next run.
+TEST_CASE("a caller's stream holds the events of one run only", "[cut]")
+{
+    inFiber([](FiberRuntime &runtime) {
+        const auto malformed = [](const std::string &request) {
+            return event(request, "first ") + "data: {\"error\":{\"message\":\"" + kForeign
+                + "\"}}\n\n";
+        };
+        const auto crossed = [](const std::string &request) {
+            return event(request, "first ") + event("\r\nX-Request-Id: other\r\n", kForeign);
+        };
+        const auto withoutEndMark = [](const std::string &request) {
+            return event(request, "first ") + event(request, "", true);
+        };
+        const auto finishedAtOnce = [](const std::string &request) {
+            return event(request, "first ", true);
+        };
+        const std::vector<std::function<std::string(const std::string &)>> firstRuns{
+            malformed, crossed, withoutEndMark, finishedAtOnce};
+        for (const bool stream : {true, false}) {
+            Cluster cluster(runtime, oneEntry()); // Each has retries for four requests.
+            int runs = 0;
+            std::size_t firstRun = 0;
+            const Replaced engines(
+                cluster, {"engine1", "engine2"},
+                engine([&](const std::string &request, int) -> Reply {
+                    if (++runs == 1) {
+                        return {kStreamHead + chunked(firstRuns[firstRun](request)), Then::Close};
+                    }
+                    return {kStreamHead + chunked(event(request, "second "))
+                                + chunked(event(request, "", true) + kEndMark) + kLastChunk,
+                            Then::Keep};
+                }));
+            for (; firstRun < firstRuns.size(); ++firstRun) {
+                runs = 0;
+                const RawAnswer answer = rawChat(cluster, absl::StrCat("runs ", firstRun), stream);
+                INFO(answer.bytes);
+                CHECK(runs == 2);
+                CHECK(answer.status == 200);
+                CHECK(answer.whole);
+                CHECK(occurrences(answer.bytes, "first ") == 0);
+                CHECK(occurrences(answer.bytes, "second ") == 1);
+                CHECK(occurrences(answer.bytes, kForeign) == 0);
+                CHECK(occurrences(answer.bytes, R"("finish_reason":"stop")") == 1);
+            }
+        }
+    });
+}
+
+// Guards against two finish marks in a stream that is resumed after the first of them.
+TEST_CASE("a stream that breaks off after its finish mark is resumed with one finish mark", "[cut]")
+{
+    inFiber([](FiberRuntime &runtime) {
+        Cluster cluster(runtime, oneEntry());
+        bool withText = false;
+        int resumed = 0;
+        const Replaced engines(
+            cluster, {"engine1", "engine2"}, engine([&](const std::string &request, int) -> Reply {
+                const std::string last = event(request, withText ? "two " : "", true);
+                if (rawField(request, "X-Resume-From").empty()) {
+                    return {kStreamHead + chunked(event(request, "one ")) + chunked(last),
+                            Then::Close};
+                }
+                resumed += rawField(request, "X-Resume-From") == "1" ? 1 : 0;
+                return {kStreamHead + chunked(last + kEndMark) + kLastChunk, Then::Keep};
+            }));
+        for (const bool text : {false, true}) {
+            withText = text;
+            const RawAnswer answer = rawChat(cluster, absl::StrCat("finished ", withText), true);
+            INFO(answer.bytes);
+            CHECK(answer.whole);
+            CHECK(occurrences(answer.body, "one ") == 1);
+            CHECK(occurrences(answer.body, "two ") == (withText ? 1 : 0));
+            CHECK(occurrences(answer.body, R"("finish_reason":"stop")") == 1);
+            CHECK(occurrences(answer.body, kEndMark) == 1);
+        }
+        CHECK(resumed == 2);
+    });
+}
+
+// Guards against a 200 with an empty or short body for an answer that ended inside its head or
+// body.
+TEST_CASE("a service's answer that is cut is never a success, and a claimed call stays unknown",
+          "[cut]")
+{
+    inFiber([](FiberRuntime &runtime) {
+        Cluster cluster(runtime, oneEntry());
+        const std::string answer = framed("200 OK", "application/json", R"({"ok":true})");
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n" + answer;
+        const std::size_t head = answer.find("\r\n\r\n");
+        const std::vector<std::string> cuts{answer.substr(0, 12),
+                                            answer.substr(0, head),
+                                            answer.substr(0, head + 3),
+                                            answer.substr(0, head + 4),
+                                            answer.substr(0, answer.size() - 1),
+                                            interim.substr(0, 25),
+                                            interim.substr(0, 25 + head)};
+        std::size_t cut = 0;
+        const Replaced services(cluster, {"stock1", "stock2", "desk1"},
+                                [&](const std::string &, int) -> Reply {
+                                    return {cuts[cut], cut % 2 == 0 ? Then::Close : Then::Reset};
+                                });
+        for (; cut < cuts.size(); ++cut) {
+            const RawAnswer read = rawStock(cluster);
+            INFO(cut << ": " << read.bytes);
+            CHECK_FALSE(isOk(read));
+            const RawAnswer claimed = claimedCall(cluster, absl::StrCat("cut-", cut));
+            INFO(claimed.bytes);
+            CHECK(claimed.status == 502);
+            CHECK(claimed.body.find(R"("run":"unknown")") != std::string::npos);
+            CHECK(rawConfirm(cluster, absl::StrCat("cut-", cut)).status == 409);
+        }
+    });
+}
+
+// Guards against a 200 for a chat answer that ended inside its head or its body.
+TEST_CASE("a chat answer that is cut is never complete", "[cut]")
+{
+    inFiber([](FiberRuntime &runtime) {
+        const std::string head = "HTTP/1.1 103 Early Hints\r\n\r\n" + std::string(kStreamHead);
+        const std::vector<std::size_t> lengths{
+            0, 20, 28, 40, head.size() - 1, head.size(), head.size() + 5, head.size() + 150};
+        for (std::size_t first = 0; first < lengths.size(); first += 2) {
+            Cluster cluster(runtime, oneEntry()); // Each has retries for two requests.
+            std::size_t length = 0;
+            const Replaced engines(cluster, {"engine1", "engine2"},
+                                   engine([&](const std::string &request, int) -> Reply {
+                                       const std::string whole = head
+                                           + chunked(event(request, "one "))
+                                           + chunked(event(request, "", true) + kEndMark)
+                                           + kLastChunk;
+                                       return {whole.substr(0, length), Then::Close};
+                                   }));
+            for (const bool stream : {true, false}) {
+                length = lengths[first + (stream ? 0 : 1)];
+                const RawAnswer answer = rawChat(cluster, absl::StrCat("cut ", length), stream);
+                INFO("after " << length << " bytes: " << answer.bytes);
+                CHECK_FALSE((isOk(answer) && answer.whole));
+                CHECK(occurrences(answer.bytes, "HTTP/1.1 ") == 1);
+                CHECK(occurrences(answer.bytes, kEndMark) == 0);
+                CHECK(occurrences(answer.bytes, "one ") <= 1);
+            }
+        }
+    });
+}
