An end mark without a finish mark is no complete answer

Cause: ModelCall took `[DONE]` for the end of an answer whatever had come before it.

Callers saw: of an engine that sent an error and `[DONE]`, or `[DONE]` too early, at once or on the resumption of a stream, an answer with complete framing and `[DONE]` that was empty or short. When no event had come before, the stream's bytes had no head at all.

Change: without a finish mark the run counts as broken off: it is resumed or run again within the budget, then refused, or the begun stream is cut behind its error event.

Evidence: "an end mark without a finish mark ..." and "a stream whose resumption fails ..." failed before (the latter for a resumption of `[DONE]` only), and pass. The other fifteen answers to a resumption (4xx, 5xx, other types, no events, a second head, heads and bodies cut) were cut visibly before as well, without a byte of the upstream's error.

--- a/kernel/src/traffic/ModelCall.cpp
+++ b/kernel/src/traffic/ModelCall.cpp
@@ -113,6 +113,10 @@
         event = this->events.next();
     }
     if (*event == kEnd) {
+        if (!this->finished) {
+            return failure(absl::StatusCode::kInternal, "read answer", this->upstream.name,
+                           "an end mark without a finish mark");
+        }
         this->ended = true;
         (void)this->stream->readSome(
             this->options.gapTimeout); // Takes the last chunk, so that the connection can be kept.
@@ -130,6 +134,7 @@
         return failure(absl::StatusCode::kDataLoss, "check answer", this->upstream.name,
                        "the answer belongs to another request");
     }
+    this->finished = this->finished || token.last;
     token.event = *std::move(event);
     return token;
 }
--- a/kernel/src/traffic/ModelCall.h
+++ b/kernel/src/traffic/ModelCall.h
@@ -47,7 +47,8 @@
 
     /// Sends the request. kNotFound: the engine does not hold the version and has run nothing.
     absl::Status open();
-    /// The next part; kDataLoss when the answer belongs to another request; nothing after the end.
+    /// The next part; kDataLoss when the answer belongs to another request; nothing after the end,
+    /// which is one only behind a finish mark.
     absl::StatusOr<std::optional<ModelToken>> next();
     /// True when next() would return at once.
     bool hasBuffered() const { return this->events.hasNext(); }
@@ -63,7 +64,8 @@
     CallCanceller canceller;
     std::unique_ptr<HttpStream> stream;
     SseReader events;
-    bool ended = false;
+    bool finished = false; ///< The engine has said why its answer ends.
+    bool ended = false;    ///< The end mark has come. Invariant: implies `finished`.
 };
 
 } // namespace basilnotch
--- a/tests/failure/CutAnswerTest.cpp
+++ b/tests/failure/CutAnswerTest.cpp
@@ -218,6 +218,88 @@
     });
 }
 
+// Guards against a stream without a finish mark, or without any event, that looks complete.
+TEST_CASE("an end mark without a finish mark is no complete answer", "[cut]")
+{
+    inFiber([](FiberRuntime &runtime) {
+        Cluster cluster(runtime, oneEntry());
+        bool empty = false;
+        const Replaced engines(cluster, {"engine1", "engine2"},
+                               engine([&](const std::string &request, int) -> Reply {
+                                   std::string bytes = kStreamHead;
+                                   if (!empty) {
+                                       bytes += chunked(event(request, "one "));
+                                   }
+                                   return {bytes + chunked(kEndMark) + kLastChunk, Then::Keep};
+                               }));
+        for (const bool stream : {true, false}) {
+            for (const bool withoutEvents : {true, false}) {
+                empty = withoutEvents;
+                const RawAnswer answer =
+                    rawChat(cluster, absl::StrCat("early ", stream, withoutEvents), stream);
+                INFO(answer.bytes);
+                CHECK(answer.bytes.starts_with("HTTP/1.1 "));
+                CHECK_FALSE((isOk(answer) && answer.whole));
+                CHECK(occurrences(answer.body, kEndMark) == 0);
+            }
+        }
+    });
+}
+
+// Guards against the text or the head of an upstream's error in the middle of a caller's stream,
+// and against a stream that ends as if it were complete.
+TEST_CASE("a stream whose resumption fails is cut visibly, without the upstream's answer", "[cut]")
+{
+    inFiber([](FiberRuntime &runtime) {
+        const std::string error = absl::StrCat(R"({"error":")", kForeign, R"("})");
+        const std::string events = absl::StrCat("data: ", error, "\n\n", kEndMark);
+        const std::vector<std::string> replies{
+            framed("500 Internal Server Error", "application/json", error),
+            framed("503 Service Unavailable", "text/event-stream", events),
+            framed("404 Not Found", "application/json", error),
+            framed("400 Bad Request", "text/html", kForeign),
+            framed("200 OK", "application/json", error),
+            framed("200 OK", "text/html", std::string(kForeign) + "\n\n"),
+            framed("200 OK", "text/event-stream", events),
+            framed("200 OK", "text/event-stream", ""),
+            kStreamHead + std::string(kLastChunk),
+            kStreamHead + chunked(kEndMark) + kLastChunk,
+            kStreamHead + chunked(framed("500 Error", "text/plain", kForeign)) + kLastChunk,
+            "HTTP/1.1 103 Early Hints\r\n\r\n" + framed("500 Error", "text/plain", kForeign),
+            "HTTP/1.1 200 OK\r\nContent-Le",
+            "HTTP/1.1 200 OK\r\n\r\n" + error,
+            std::string(kForeign) + "\r\n\r\n",
+            ""};
+        for (std::size_t first = 0; first < replies.size(); first += 2) {
+            Cluster cluster(runtime, oneEntry()); // Each has retries for two requests.
+            std::size_t reply = first;
+            int resumed = 0;
+            const Replaced engines(
+                cluster, {"engine1", "engine2"},
+                engine([&](const std::string &request, int) -> Reply {
+                    if (rawField(request, "X-Resume-From").empty()) {
+                        return {kStreamHead + chunked(event(request, "begun ")), Then::Close};
+                    }
+                    ++resumed;
+                    return {replies[reply], Then::Close};
+                }));
+            for (; reply < first + 2; ++reply) {
+                const int resumedBefore = resumed;
+                const RawAnswer answer = rawChat(cluster, absl::StrCat("resumed ", reply), true);
+                INFO(reply << ": " << answer.bytes);
+                CHECK(resumed > resumedBefore);
+                CHECK(answer.status == 200);
+                CHECK_FALSE(answer.whole);
+                CHECK(occurrences(answer.bytes, "begun ") == 1);
+                CHECK(occurrences(answer.bytes, kForeign) == 0);
+                CHECK(occurrences(answer.bytes, "HTTP/1.1 ") == 1);
+                CHECK(occurrences(answer.bytes, kEndMark) == 0);
+                CHECK(occurrences(answer.bytes, "event: error\n") == 1);
+            }
+        }
+    });
+}
+
 // Guards against a 200 with an empty or short body for an answer that ended inside its head or
 // body.
 TEST_CASE("a service's answer that is cut is never a success, and a claimed call stays unknown",
