A service's answer without a length is not taken for whole

Cause: an answer without a length or chunks ends with its connection, also when its server has stopped in the middle; ServiceApi took what had come for the whole body.

Callers saw: a 200 with a Content-Length and an empty or short body. Of a claimed call the short body was recorded under its Idempotency-Key and replayed.

Change: such an answer is an error once its head is read: a repeatable call is tried elsewhere within the budget, a claimed one stays "unknown" and is never run again. One exchange with a server is one function, so that the bound of limits.answerBytes holds for claimed calls as well.

Evidence: "an answer of a service without a length ..." failed before (12 checks, each of three bodies) and passes, as do the other tests of services.

--- a/kernel/src/traffic/ServiceApi.cpp
+++ b/kernel/src/traffic/ServiceApi.cpp
@@ -187,6 +187,29 @@
                     this->context.metrics.histogram("service_seconds").quantile(kHedgeQuantile));
 }
 
+absl::StatusOr<HttpResponse> ServiceApi::callService(const UpstreamSettings &upstream,
+                                                     const HttpRequest &wire,
+                                                     const CallOptions &options,
+                                                     CallCanceller *canceller)
+{
+    const TimePoint until = this->context.clock.now() + options.timeout;
+    const auto stream = this->context.client.open(upstream.endpoint, wire, options, canceller);
+    if (!stream.ok()) {
+        return stream.status();
+    }
+    if ((*stream)->endsWithConnection()) {
+        return failure(absl::StatusCode::kDataLoss, "read body", upstream.name,
+                       "an answer without a length can't be told from a cut one");
+    }
+    auto body =
+        (*stream)->readAll(until - this->context.clock.now(),
+                           static_cast<std::size_t>(this->context.settings.limits.answerBytes));
+    if (!body.ok()) {
+        return body.status();
+    }
+    return HttpResponse{(*stream)->status(), (*stream)->headers(), *std::move(body)};
+}
+
 void ServiceApi::startAttempt(const std::shared_ptr<Attempt> &attempt, const ServiceCall &call,
                               const RouteChoice &choice)
 {
@@ -197,18 +220,7 @@
         const TimePoint start = this->context.clock.now();
         CallOptions options;
         options.timeout = kServiceTimeout;
-        auto stream =
-            this->context.client.open(upstream.endpoint, wire, options, &attempt->canceller);
-        if (stream.ok()) {
-            auto body = (*stream)->readAll(
-                options.timeout,
-                static_cast<std::size_t>(this->context.settings.limits.answerBytes));
-            attempt->response = body.ok() ? absl::StatusOr<HttpResponse>(HttpResponse{
-                                    (*stream)->status(), (*stream)->headers(), *std::move(body)})
-                                          : absl::StatusOr<HttpResponse>(body.status());
-        } else {
-            attempt->response = stream.status();
-        }
+        attempt->response = this->callService(upstream, wire, options, &attempt->canceller);
         const bool cancelled = attempt->canceller.cancelled();
         const CompletionStatus end = attempt->response.ok() ? CompletionStatus::Finished
             : cancelled                                     ? CompletionStatus::Cancelled
@@ -443,7 +455,7 @@
         options.timeout = kServiceTimeout;
         options.freshConnection =
             true; // On an idle one, a closed peer could not be told from a lost answer.
-        const auto response = this->context.client.call(upstream.endpoint, call.wire, options);
+        const auto response = this->callService(upstream, call.wire, options, nullptr);
         this->context.desk.routing().onEnded(
             *choice, response.ok() ? CompletionStatus::Finished : CompletionStatus::Crashed,
             this->context.clock.now() - start);
--- a/kernel/src/traffic/ServiceApi.h
+++ b/kernel/src/traffic/ServiceApi.h
@@ -52,6 +52,11 @@
     void releaseLater(const ClaimTicket &ticket);
     std::optional<RouteChoice> choose(const ServiceCall &call, UpstreamIndex avoid,
                                       std::string_view avoidDomain);
+    /// One exchange with a server, within `options.timeout` once the connection is there. An answer
+    /// that ends with its connection is an error: it can't be told from a cut one.
+    absl::StatusOr<HttpResponse> callService(const UpstreamSettings &upstream,
+                                             const HttpRequest &wire, const CallOptions &options,
+                                             CallCanceller *canceller);
     void startAttempt(const std::shared_ptr<Attempt> &attempt, const ServiceCall &call,
                       const RouteChoice &choice);
     void answer(HttpExchange &exchange, const ServiceCall &call, const HttpResponse &response,
--- a/tests/failure/CutAnswerTest.cpp
+++ b/tests/failure/CutAnswerTest.cpp
@@ -335,6 +335,32 @@
     });
 }
 
+// Guards against an answer without a length that is taken as whole when its connection has ended,
+// and recorded under its Idempotency-Key.
+TEST_CASE("an answer of a service without a length is never framed or recorded as whole", "[cut]")
+{
+    inFiber([](FiberRuntime &runtime) {
+        Cluster cluster(runtime, oneEntry());
+        std::string body;
+        const Replaced services(cluster, {"stock1", "stock2", "desk1"},
+                                [&](const std::string &, int) -> Reply {
+                                    return {"HTTP/1.1 200 OK\r\n\r\n" + body, Then::Close};
+                                });
+        for (const char *part : {"", R"({"ok":)", R"({"ok":true})"}) {
+            body = part;
+            const RawAnswer read = rawStock(cluster);
+            INFO(read.bytes);
+            CHECK_FALSE((isOk(read) && read.whole));
+            const std::string key = absl::StrCat("open-", body.size());
+            const RawAnswer claimed = claimedCall(cluster, key);
+            INFO(claimed.bytes);
+            CHECK_FALSE((isOk(claimed) && claimed.whole));
+            CHECK(claimed.body.find(R"("run":"unknown")") != std::string::npos);
+            CHECK(rawConfirm(cluster, key).status == 409);
+        }
+    });
+}
+
 // Guards against a 200 for a chat answer that ended inside its head or its body.
 TEST_CASE("a chat answer that is cut is never complete", "[cut]")
 {
