An event without an id no longer continues a stream

The next upstream of a resumed stream answered with an event that had no id ("event: error" and the text of an error). Also an event that the caller has already would have come twice.

Until the answer that continues a stream has had a new event with an id, an event without one is an interruption; comments, which keep a connection open, still pass. The first answer is passed on as it is. Test "an event without an id does not continue a stream": failed for each of four ways in which the first answer broke off, passes now.

--- a/kernel/src/relay/StreamRelay.cpp
+++ b/kernel/src/relay/StreamRelay.cpp
@@ -11,11 +11,30 @@
     , lastSentId(resumeAfter)
 { }
 
+namespace {
+
+/// Whether every line of `event` is a comment, which upstreams send to keep a connection open.
+bool isComment(std::string_view event)
+{
+    bool startsLine = true;
+    for (const char character : event) {
+        if (startsLine && character != ':' && character != '\n') {
+            return false;
+        }
+        startsLine = character == '\n';
+    }
+    return true;
+}
+
+} // namespace
+
 bool StreamRelay::drainEvents(std::string *out)
 {
     while (const std::optional<SseEvent> event = this->reader.nextEvent()) {
         if (event->id) {
             this->lastReadId = event->id;
+        } else if (this->isResuming && !isComment(event->raw)) {
+            return false; // The caller may have it already.
         }
         if (event->id && this->lastSentId) {
             if (*event->id <= *this->lastSentId) {
@@ -27,6 +46,7 @@
         }
         if (event->id) {
             this->lastSentId = event->id;
+            this->isResuming = false;
         }
         ++this->eventCount;
         *out += event->raw;
@@ -50,6 +70,7 @@
 {
     this->reader = SseReader();
     this->lastReadId.reset();
+    this->isResuming = this->streamBegun;
     bool first = true;
     while (true) {
         const Duration pause = hooks.maxPause();
--- a/kernel/src/relay/StreamRelay.h
+++ b/kernel/src/relay/StreamRelay.h
@@ -16,7 +16,7 @@
 enum class StreamOutcome {
     Complete, ///< The upstream completed its stream, and the caller has received all of it.
     CallerGone,
-    Interrupted, ///< The upstream disconnected, timed out or omitted an event.
+    Interrupted, ///< The upstream disconnected, timed out, or sent an event that does not follow.
 };
 
 /// What a StreamRelay asks while it relays an answer.
@@ -49,7 +49,8 @@
     void abort() { this->exchange.abortStream(); }
 
 private:
-    /// Appends the reader's complete events to `out`; false if an event is missing before them.
+    /// Appends the reader's complete events to `out`; false if an event is missing before them, or
+    /// the caller may have one already.
     bool drainEvents(std::string *out);
     bool send(std::string_view events, const HttpHeaders &headers);
 
@@ -59,6 +60,7 @@
     bool streamBegun = false;
     SseReader reader;                       ///< Parses the current upstream's response.
     std::optional<std::int64_t> lastReadId; ///< Id of the last event in that response.
+    bool isResuming = false; ///< That response continues a stream and has had no new event yet.
 };
 
 } // namespace basilnotch
