A stream whose events have no ids is not resumed

A stream of a route that may be resumed broke off; its events had no ids. The request was sent again without Last-Event-Id, the next upstream began at the first event, and the caller got the events twice in one stream that ended as complete (ORDER).

StreamRelay::canResume() says whether an upstream can be told where to go on. Without that, a stream that has begun is neither sent again nor cut at a stall in order to be. Test "a stream whose events have no ids is not resumed": failed (two sends, each event twice), passes now.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -260,8 +260,9 @@
     }
     const Route &route = *this->request.route;
     const bool isSafeToRetry = outcome == AttemptOutcome::NotExecuted || route.mayRunAgain();
-    if (!isSafeToRetry || this->sendCount >= route.maxAttempts || this->timeLeft() < kMinUsefulTime
-        || this->isQuarantined()) {
+    const bool canGoOn = !this->stream.hasStarted() || this->stream.canResume();
+    if (!isSafeToRetry || !canGoOn || this->sendCount >= route.maxAttempts
+        || this->timeLeft() < kMinUsefulTime || this->isQuarantined()) {
         return false;
     }
     const bool isWithinBudget = this->retryBudget().tryAcquire(this->request.view->liveInstances);
@@ -546,7 +547,7 @@
         if (hasFirstEvent) {
             this->recordStreamRate(&rateSample);
         }
-        const bool mayFailOver = hasFirstEvent && route.canResume
+        const bool mayFailOver = hasFirstEvent && route.canResume && this->stream.canResume()
             && this->sendCount < route.maxAttempts && route.gapTarget > Duration::zero();
         return mayFailOver ? std::min(stallTimeout, this->timeLeft()) : this->timeLeft();
     };
--- a/kernel/src/relay/StreamRelay.h
+++ b/kernel/src/relay/StreamRelay.h
@@ -43,6 +43,8 @@
                         const StreamRelayHooks &hooks);
     /// Whether anything has been sent to the caller.
     bool hasStarted() const { return this->streamBegun; }
+    /// Whether an upstream can be told where to go on.
+    bool canResume() const { return this->lastSentId.has_value(); }
     std::optional<std::int64_t> lastEventId() const { return this->lastSentId; }
     std::int64_t events() const { return this->eventCount; }
     /// Ends the response as incomplete.
