A stream on a route that can't resume is not resumed

A route that may run a request again (idempotent) but has no can_resume got a stream that broke off.

Once a stream has begun, only Route::canResume lets it go on elsewhere. Test "a stream on a route that can't resume is not resumed": failed on the idempotent route (two sends), passes now; on the streaming route without can_resume it passed before.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -260,7 +260,8 @@
     }
     const Route &route = *this->request.route;
     const bool isSafeToRetry = outcome == AttemptOutcome::NotExecuted || route.mayRunAgain();
-    const bool canGoOn = !this->stream.hasStarted() || this->stream.canResume();
+    const bool canGoOn =
+        !this->stream.hasStarted() || (route.canResume && this->stream.canResume());
     if (!isSafeToRetry || !canGoOn || this->sendCount >= route.maxAttempts
         || this->timeLeft() < kMinUsefulTime || this->isQuarantined()) {
         return false;
