Another answer inside a stream's body is no longer passed on

An upstream wrote the head and the text of a second answer into the body of a stream, after its second event: without a length, within the length, or in a chunk. The relay takes everything up to an empty line for an event, so the caller got the head and the text of an error in the middle of its stream, or the head of a second answer before the next event, whose id fits (MIXED).

An event with a carriage return is now an interruption: the lines of events here end with a line feed alone, those of a head never do. What came before is passed on, and the stream is resumed or ends as incomplete. The text of an error without a head inside the body of the first answer can't be told from the upstream's own. Test "another answer inside a stream's body is not passed on": failed for an error and for a second stream in each framing, passes now.

--- a/kernel/src/relay/StreamRelay.cpp
+++ b/kernel/src/relay/StreamRelay.cpp
@@ -31,6 +31,10 @@
 bool StreamRelay::drainEvents(std::string *out)
 {
     while (const std::optional<SseEvent> event = this->reader.nextEvent()) {
+        if (event->raw.find('\r') != std::string::npos) {
+            return false; // The lines of events end with '\n'; those of another answer's head do
+                          // not.
+        }
         if (event->id) {
             this->lastReadId = event->id;
         } else if (this->isResuming && !isComment(event->raw)) {
--- a/kernel/src/relay/StreamRelay.h
+++ b/kernel/src/relay/StreamRelay.h
@@ -51,8 +51,8 @@
     void abort() { this->exchange.abortStream(); }
 
 private:
-    /// Appends the reader's complete events to `out`; false if an event is missing before them, or
-    /// the caller may have one already.
+    /// Appends the reader's complete events to `out`; false before what is no event, or one that
+    /// does not follow: events are missing before it, or the caller may have it already.
     bool drainEvents(std::string *out);
     bool send(std::string_view events, const HttpHeaders &headers);
 
