A stream without a length that ends with its upstream is incomplete

An upstream crashed between two events of a stream that had neither length nor chunks, after at least two of them.

The relay now asks after every stream that ends with its connection, whatever has come; the stream is then resumed, or ends as incomplete. An upstream that is alive and ends such a stream early, between two events, still can't be told from one that has finished. Test "a stream without a length that ends with its upstream is incomplete", also with the caller's own Last-Event-Id: failed, passes now.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -386,11 +386,13 @@
     if (events == 0 && !isResumed) {
         return true;
     }
-    if (events >= kEventsOfSoundPrompt) {
-        return false;
-    }
+    return this->hasEndedWith(attempt.lease.upstream());
+}
+
+bool RequestForwarder::hasEndedWith(const UpstreamRecord &upstream)
+{
     this->context.runtime.sleepFor(kCrashCheckDelay);
-    return this->hasCrashed(attempt.lease.upstream());
+    return this->hasCrashed(upstream);
 }
 
 void RequestForwarder::checkCrash(const Attempt &attempt, bool hasBegun)
--- a/kernel/src/relay/RequestForwarder.h
+++ b/kernel/src/relay/RequestForwarder.h
@@ -90,9 +90,11 @@
     void checkCrash(const Attempt &attempt, bool hasBegun);
     bool hasCrashed(const UpstreamRecord &upstream);
     /// Whether a stream that has ended with its connection, between two events, is incomplete: it
-    /// has no event, or so few that its upstream may have crashed, and has. Blocks for the time of
-    /// a connection attempt.
+    /// has no event, or its upstream has crashed. May block as hasEndedWith().
     bool isCutOff(const Attempt &attempt);
+    /// Whether an answer that has ended with its connection was cut because the upstream has
+    /// crashed. Blocks for the time of a connection attempt.
+    bool hasEndedWith(const UpstreamRecord &upstream);
     /// Clears the request's prompt parts of suspicion.
     void onPromptAnswered(Attempt &attempt);
     /// Ends the wait for a slot, the connection attempt or the response under way.
