A buffered answer without a length that ends with its upstream is incomplete

An upstream crashed while it wrote an answer that has neither length nor chunks.

As for streams, an answer that ends with its connection now counts only if its upstream still accepts connections 10 ms later; otherwise it has broken off: an idempotent request is sent again, any other is answered 502. Answers with a length or in chunks are not checked, and one that is reset was an error before. Test "a buffered answer without a length that ends with its upstream is incomplete": failed for both kinds of request, passes now.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -8,6 +8,7 @@
 
 #include "site/SiteControl.h"
 
+#include <base/Failure.h>
 #include <runtime/HttpStatus.h>
 
 #include <absl/strings/match.h>
@@ -642,6 +643,13 @@
     if (!body.ok()) {
         return this->onAttemptFailed(attempt, body.status());
     }
+    const UpstreamRecord &upstream = attempt.lease.upstream();
+    if (answer.endsWithConnection() && this->hasEndedWith(upstream)) {
+        return this->onAttemptFailed(attempt,
+                                     failure(absl::StatusCode::kUnavailable, "read body",
+                                             upstream.endpoint.text(),
+                                             "the connection ended with the upstream"));
+    }
     const bool failed = answer.status() >= status::kInternalError;
     attempt.lease.onFirstByte();
     attempt.lease.setResult(failed ? AttemptResult::Failed : AttemptResult::Good);
