--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -8,6 +8,7 @@
 
 #include "site/SiteControl.h"
 
+#include <base/Failure.h>
 #include <runtime/HttpStatus.h>
 
 #include <absl/strings/match.h>
@@ -260,8 +261,10 @@
     }
     const Route &route = *this->request.route;
     const bool isSafeToRetry = outcome == AttemptOutcome::NotExecuted || route.mayRunAgain();
-    if (!isSafeToRetry || this->sendCount >= route.maxAttempts || this->timeLeft() < kMinUsefulTime
-        || this->isQuarantined()) {
+    const bool canGoOn =
+        !this->stream.hasStarted() || (route.canResume && this->stream.canResume());
+    if (!isSafeToRetry || !canGoOn || this->sendCount >= route.maxAttempts
+        || this->timeLeft() < kMinUsefulTime || this->isQuarantined()) {
         return false;
     }
     const bool isWithinBudget = this->retryBudget().tryAcquire(this->request.view->liveInstances);
@@ -392,11 +395,13 @@
     if (events == 0 && !isResumed) {
         return true;
     }
-    if (events >= kEventsOfSoundPrompt) {
-        return false;
-    }
+    return this->hasEndedWith(attempt.lease.upstream());
+}
+
+bool RequestForwarder::hasEndedWith(const UpstreamRecord &upstream)
+{
     this->context.runtime.sleepFor(kCrashCheckDelay);
-    return this->hasCrashed(attempt.lease.upstream());
+    return this->hasCrashed(upstream);
 }
 
 void RequestForwarder::checkCrash(const Attempt &attempt, bool hasBegun)
@@ -554,7 +559,7 @@
         if (hasFirstEvent) {
             this->recordStreamRate(&rateSample);
         }
-        const bool mayFailOver = hasFirstEvent && route.canResume
+        const bool mayFailOver = hasFirstEvent && route.canResume && this->stream.canResume()
             && this->sendCount < route.maxAttempts && route.gapTarget > Duration::zero();
         return mayFailOver ? std::min(stallTimeout, this->timeLeft()) : this->timeLeft();
     };
@@ -646,6 +651,13 @@
     if (!body.ok()) {
         return this->onAttemptFailed(attempt, body.status());
     }
+    const UpstreamRecord &upstream = attempt.lease.upstream();
+    if (answer.endsWithConnection() && this->hasEndedWith(upstream)) {
+        return this->onAttemptFailed(attempt,
+                                     failure(absl::StatusCode::kUnavailable, "read body",
+                                             upstream.endpoint.text(),
+                                             "the connection ended with the upstream"));
+    }
     const bool failed = answer.status() >= status::kInternalError;
     attempt.lease.onFirstByte();
     attempt.lease.setResult(failed ? AttemptResult::Failed : AttemptResult::Good);
--- a/kernel/src/relay/StreamRelay.h
+++ b/kernel/src/relay/StreamRelay.h
@@ -16,7 +16,7 @@
 enum class StreamOutcome {
     Complete, ///< The upstream completed its stream, and the caller has received all of it.
     CallerGone,
-    Interrupted, ///< The upstream disconnected, timed out or omitted an event.
+    Interrupted, ///< The upstream disconnected, timed out, or sent an event that does not follow.
 };
 
 /// What a StreamRelay asks while it relays an answer.
@@ -43,13 +43,16 @@
                         const StreamRelayHooks &hooks);
     /// Whether anything has been sent to the caller.
     bool hasStarted() const { return this->streamBegun; }
+    /// Whether an upstream can be told where to go on.
+    bool canResume() const { return this->lastSentId.has_value(); }
     std::optional<std::int64_t> lastEventId() const { return this->lastSentId; }
     std::int64_t events() const { return this->eventCount; }
     /// Ends the response as incomplete.
     void abort() { this->exchange.abortStream(); }
 
 private:
-    /// Appends the reader's complete events to `out`; false if an event is missing before them.
+    /// Appends the reader's complete events to `out`; false before what is no event, or one that
+    /// does not follow: events are missing before it, or the caller may have it already.
     bool drainEvents(std::string *out);
     bool send(std::string_view events, const HttpHeaders &headers);
 
@@ -59,6 +62,7 @@
     bool streamBegun = false;
     SseReader reader;                       ///< Parses the current upstream's response.
     std::optional<std::int64_t> lastReadId; ///< Id of the last event in that response.
+    bool isResuming = false; ///< That response continues a stream and has had no new event yet.
 };
 
 } // namespace basilnotch
