A watch whose answer does not hold all changes has the table read again

The answer to a watch can say that there are more changes than it holds. This was ignored, and the watch went on from the version of the answer, so that the other changes were never learned: an upstream that drains behind many registrations would go on getting requests. Whether the platform's store cuts such answers is not known; its tables come in pages of 500 rows.

"store history gone" says why.

--- a/kernel/src/site/TableWatcher.cpp
+++ b/kernel/src/site/TableWatcher.cpp
@@ -104,9 +104,11 @@
             }
         } else if (absl::IsOutOfRange(page.status())) {
             // The store no longer has the changes after this version, so the table is read again.
-            this->log.write(
-                LogKind::State, "store history gone",
-                {{"table", table}, {"after", static_cast<std::int64_t>(this->known[table])}});
+            const std::string why = describe(page.status());
+            this->log.write(LogKind::State, "store history gone",
+                            {{"table", table},
+                             {"after", static_cast<std::int64_t>(this->known[table])},
+                             {"why", why}});
             this->known.erase(table);
         } else if (!absl::IsCancelled(page.status())) {
             this->onFailure(table, page.status(), beganAt);
--- a/libs/replica/include/replica/RecordStore.h
+++ b/libs/replica/include/replica/RecordStore.h
@@ -58,8 +58,9 @@
 };
 
 /// Calls block the calling fiber. Errors: kUnavailable (nothing was done), kDeadlineExceeded and
-/// kUnknown (a commit may have been done), kOutOfRange (watch: the history is gone, read again),
-/// kResourceExhausted (too many calls), kCancelled (watch: ended by cancelWatch()).
+/// kUnknown (a commit may have been done), kOutOfRange (watch: the history is gone or an answer
+/// does not hold all changes, read again), kResourceExhausted (too many calls), kCancelled (watch:
+/// ended by cancelWatch()).
 class RecordStore
 {
 public:
