Tests of cut answers: atomics between threads, a key for each try

The script of a raw server runs on the server's threads, also for a hedge whose caller has its answer already: one of these read behind the end of the list of cuts (failure_cut ended once with SIGSEGV). What the script and the test share is atomic now, and an index never leaves its list. A claimed call that has not run is repeated with a key of its own: under load the release of the earlier claim came later than the repetition, which then saw 409. The checks are the same.

--- a/tests/failure/CutAnswerTest.cpp
+++ b/tests/failure/CutAnswerTest.cpp
@@ -105,14 +105,17 @@
                    keyField() + "Idempotency-Key: " + key + "\r\n", R"({"pallets":3})");
 }
 
-/// Repeats a claimed call that has not run: a server that has cut an answer is left out for a
-/// while.
-RawAnswer claimedCall(Cluster &cluster, const std::string &key)
+/// A claimed call that has reached its server: one that has cut an answer is left out for a while.
+/// `key` gets the key of its last try; each has its own, as the one before is released later.
+RawAnswer claimedCall(Cluster &cluster, std::string *key)
 {
     RawAnswer answer;
+    const std::string stem = *key;
+    int tries = 0;
     cluster.eventually(seconds(8), [&] {
-        answer = rawConfirm(cluster, key);
-        return answer.body.find(R"("run":"not_run")") == std::string::npos;
+        *key = absl::StrCat(stem, "-", ++tries);
+        answer = rawConfirm(cluster, *key);
+        return !absl::StrContains(answer.body, R"("run":"not_run")");
     });
     return answer;
 }
@@ -159,8 +162,8 @@
             malformed, crossed, withoutEndMark, finishedAtOnce};
         for (const bool stream : {true, false}) {
             Cluster cluster(runtime, oneEntry()); // Each has retries for four requests.
-            int runs = 0;
-            std::size_t firstRun = 0;
+            std::atomic<int> runs = 0;
+            std::atomic<std::size_t> firstRun = 0;
             const Replaced engines(
                 cluster, {"engine1", "engine2"},
                 engine([&](const std::string &request, int) -> Reply {
@@ -171,9 +174,10 @@
                                 + chunked(event(request, "", true) + kEndMark) + kLastChunk,
                             Then::Keep};
                 }));
-            for (; firstRun < firstRuns.size(); ++firstRun) {
+            for (std::size_t run = 0; run < firstRuns.size(); ++run) {
+                firstRun = run;
                 runs = 0;
-                const RawAnswer answer = rawChat(cluster, absl::StrCat("runs ", firstRun), stream);
+                const RawAnswer answer = rawChat(cluster, absl::StrCat("runs ", run), stream);
                 INFO(answer.bytes);
                 CHECK(runs == 2);
                 CHECK(answer.status == 200);
@@ -192,8 +196,8 @@
 {
     inFiber([](FiberRuntime &runtime) {
         Cluster cluster(runtime, oneEntry());
-        bool withText = false;
-        int resumed = 0;
+        std::atomic<bool> withText = false;
+        std::atomic<int> resumed = 0;
         const Replaced engines(
             cluster, {"engine1", "engine2"}, engine([&](const std::string &request, int) -> Reply {
                 const std::string last = event(request, withText ? "two " : "", true);
@@ -206,11 +210,11 @@
             }));
         for (const bool text : {false, true}) {
             withText = text;
-            const RawAnswer answer = rawChat(cluster, absl::StrCat("finished ", withText), true);
+            const RawAnswer answer = rawChat(cluster, absl::StrCat("finished ", text), true);
             INFO(answer.bytes);
             CHECK(answer.whole);
             CHECK(occurrences(answer.body, "one ") == 1);
-            CHECK(occurrences(answer.body, "two ") == (withText ? 1 : 0));
+            CHECK(occurrences(answer.body, "two ") == (text ? 1 : 0));
             CHECK(occurrences(answer.body, R"("finish_reason":"stop")") == 1);
             CHECK(occurrences(answer.body, kEndMark) == 1);
         }
@@ -223,7 +227,7 @@
 {
     inFiber([](FiberRuntime &runtime) {
         Cluster cluster(runtime, oneEntry());
-        bool empty = false;
+        std::atomic<bool> empty = false;
         const Replaced engines(cluster, {"engine1", "engine2"},
                                engine([&](const std::string &request, int) -> Reply {
                                    std::string bytes = kStreamHead;
@@ -272,8 +276,8 @@
             ""};
         for (std::size_t first = 0; first < replies.size(); first += 2) {
             Cluster cluster(runtime, oneEntry()); // Each has retries for two requests.
-            std::size_t reply = first;
-            int resumed = 0;
+            std::atomic<std::size_t> reply = first;
+            std::atomic<int> resumed = 0;
             const Replaced engines(
                 cluster, {"engine1", "engine2"},
                 engine([&](const std::string &request, int) -> Reply {
@@ -283,10 +287,11 @@
                     ++resumed;
                     return {replies[reply], Then::Close};
                 }));
-            for (; reply < first + 2; ++reply) {
+            for (const std::size_t number : {first, first + 1}) {
+                reply = number;
                 const int resumedBefore = resumed;
-                const RawAnswer answer = rawChat(cluster, absl::StrCat("resumed ", reply), true);
-                INFO(reply << ": " << answer.bytes);
+                const RawAnswer answer = rawChat(cluster, absl::StrCat("resumed ", number), true);
+                INFO(number << ": " << answer.bytes);
                 CHECK(resumed > resumedBefore);
                 CHECK(answer.status == 200);
                 CHECK_FALSE(answer.whole);
@@ -317,20 +322,22 @@
                                             answer.substr(0, answer.size() - 1),
                                             interim.substr(0, 25),
                                             interim.substr(0, 25 + head)};
-        std::size_t cut = 0;
+        std::atomic<std::size_t> cut = 0;
         const Replaced services(cluster, {"stock1", "stock2", "desk1"},
                                 [&](const std::string &, int) -> Reply {
                                     return {cuts[cut], cut % 2 == 0 ? Then::Close : Then::Reset};
                                 });
-        for (; cut < cuts.size(); ++cut) {
+        for (std::size_t number = 0; number < cuts.size(); ++number) {
+            cut = number;
             const RawAnswer read = rawStock(cluster);
-            INFO(cut << ": " << read.bytes);
+            INFO(number << ": " << read.bytes);
             CHECK_FALSE(isOk(read));
-            const RawAnswer claimed = claimedCall(cluster, absl::StrCat("cut-", cut));
+            std::string key = absl::StrCat("cut-", number);
+            const RawAnswer claimed = claimedCall(cluster, &key);
             INFO(claimed.bytes);
             CHECK(claimed.status == 502);
             CHECK(claimed.body.find(R"("run":"unknown")") != std::string::npos);
-            CHECK(rawConfirm(cluster, absl::StrCat("cut-", cut)).status == 409);
+            CHECK(rawConfirm(cluster, key).status == 409);
         }
     });
 }
@@ -341,18 +348,19 @@
 {
     inFiber([](FiberRuntime &runtime) {
         Cluster cluster(runtime, oneEntry());
-        std::string body;
+        const std::vector<std::string> bodies{"", R"({"ok":)", R"({"ok":true})"};
+        std::atomic<std::size_t> body = 0;
         const Replaced services(cluster, {"stock1", "stock2", "desk1"},
                                 [&](const std::string &, int) -> Reply {
-                                    return {"HTTP/1.1 200 OK\r\n\r\n" + body, Then::Close};
+                                    return {"HTTP/1.1 200 OK\r\n\r\n" + bodies[body], Then::Close};
                                 });
-        for (const char *part : {"", R"({"ok":)", R"({"ok":true})"}) {
-            body = part;
+        for (std::size_t number = 0; number < bodies.size(); ++number) {
+            body = number;
             const RawAnswer read = rawStock(cluster);
             INFO(read.bytes);
             CHECK_FALSE((isOk(read) && read.whole));
-            const std::string key = absl::StrCat("open-", body.size());
-            const RawAnswer claimed = claimedCall(cluster, key);
+            std::string key = absl::StrCat("open-", number);
+            const RawAnswer claimed = claimedCall(cluster, &key);
             INFO(claimed.bytes);
             CHECK_FALSE((isOk(claimed) && claimed.whole));
             CHECK(claimed.body.find(R"("run":"unknown")") != std::string::npos);
@@ -370,7 +378,7 @@
             0, 20, 28, 40, head.size() - 1, head.size(), head.size() + 5, head.size() + 150};
         for (std::size_t first = 0; first < lengths.size(); first += 2) {
             Cluster cluster(runtime, oneEntry()); // Each has retries for two requests.
-            std::size_t length = 0;
+            std::atomic<std::size_t> length = 0;
             const Replaced engines(cluster, {"engine1", "engine2"},
                                    engine([&](const std::string &request, int) -> Reply {
                                        const std::string whole = head
@@ -381,7 +389,8 @@
                                    }));
             for (const bool stream : {true, false}) {
                 length = lengths[first + (stream ? 0 : 1)];
-                const RawAnswer answer = rawChat(cluster, absl::StrCat("cut ", length), stream);
+                const RawAnswer answer =
+                    rawChat(cluster, absl::StrCat("cut ", length.load()), stream);
                 INFO("after " << length << " bytes: " << answer.bytes);
                 CHECK_FALSE((isOk(answer) && answer.whole));
                 CHECK(occurrences(answer.bytes, "HTTP/1.1 ") == 1);
--- a/tests/support/RawServer.h
+++ b/tests/support/RawServer.h
@@ -75,7 +75,8 @@
         std::string bytes;
         Then then = Then::Close;
     };
-    /// `number` counts the requests of a connection from 0. Called by one thread at a time.
+    /// `number` counts the requests of a connection from 0. Called by one thread of this server at
+    /// a time, also after the caller of the last request has its answer.
     using Script = std::function<Reply(const std::string &request, int number)>;
 
     /// With port 0 the system chooses one.
