A malformed row of the platform's table is an error, never a missing row

Cause: the HTTP client of the platform left out rows of a list that were no objects, took rows without key or version for rows of version 0, and any object without a version as "not there".

No platform that does this has been seen.

Change: a row has a key and a version, else the answer is malformed; only `{}` says that a row isn't there, as in docs/PLATFORM.md.

--- a/libs/platform/src/HttpPlatform.cpp
+++ b/libs/platform/src/HttpPlatform.cpp
@@ -7,6 +7,8 @@
 #include <absl/strings/str_cat.h>
 #include <boost/json.hpp>
 
+#include <optional>
+
 namespace basilnotch {
 
 namespace json = boost::json;
@@ -60,12 +62,17 @@
     return value && value->is_string() ? std::string(value->as_string()) : std::string();
 }
 
-TableRow readRow(const json::object &object)
+/// Nothing when it is no row: whoever reads a list must not take it for one that isn't there.
+std::optional<TableRow> readRow(const json::value &item)
 {
-    const json::value *version = object.if_contains("version");
-    const bool isNumber = version && version->is_int64();
-    return {text(object, "key"), text(object, "value"),
-            isNumber ? static_cast<std::uint64_t>(version->as_int64()) : 0};
+    const json::object *object = item.if_object();
+    const json::value *version = object ? object->if_contains("version") : nullptr;
+    if (!version || !version->is_int64() || version->as_int64() < 0) {
+        return std::nullopt;
+    }
+    TableRow row{text(*object, "key"), text(*object, "value"),
+                 static_cast<std::uint64_t>(version->as_int64())};
+    return row.key.empty() ? std::nullopt : std::optional<TableRow>(std::move(row));
 }
 
 class HttpTable final : public TableService
@@ -93,12 +100,12 @@
         }
         std::vector<TableWriteResult> out;
         for (const json::value &item : results->as_array()) {
-            if (!item.is_object()) {
+            std::optional<TableRow> row = readRow(item);
+            if (!row) {
                 return this->caller.malformed("/table/write");
             }
             const json::value *applied = item.as_object().if_contains("applied");
-            out.push_back(
-                {applied && applied->is_bool() && applied->as_bool(), readRow(item.as_object())});
+            out.push_back({applied && applied->is_bool() && applied->as_bool(), *std::move(row)});
         }
         return out;
     }
@@ -109,11 +116,14 @@
         if (!answer.ok()) {
             return answer.status();
         }
-        TableRow row = readRow(*answer);
-        if (row.version == 0) {
+        if (answer->empty()) {
             return failure(absl::StatusCode::kNotFound, "/table/read", "", std::string(key));
         }
-        return row;
+        std::optional<TableRow> row = readRow(*std::move(answer));
+        if (!row || row->version == 0) {
+            return this->caller.malformed("/table/read");
+        }
+        return *std::move(row);
     }
 
     absl::StatusOr<std::vector<TableRow>> list(std::string_view prefix, std::string_view after,
@@ -130,9 +140,11 @@
         }
         std::vector<TableRow> out;
         for (const json::value &item : rows->as_array()) {
-            if (item.is_object()) {
-                out.push_back(readRow(item.as_object()));
+            std::optional<TableRow> row = readRow(item);
+            if (!row) {
+                return this->caller.malformed("/table/list");
             }
+            out.push_back(*std::move(row));
         }
         return out;
     }
