A record is fetched first from the peers that told of it

Members were asked for a record in random order, twelve at most. Of a large fleet, these often did not have the record yet or were away, so that the fetch found nothing and was begun anew at the next gossip.

Callers saw a change late at some instances.

With 95 instances as processes, half of them killed or paused, 10 fetches asked all of twelve members in vain (967 ms and more, half of them).

Change: the rumor store says whether a peer has told a rumor; such peers are asked first, in random order.

--- a/kernel/src/site/RecordGossip.cpp
+++ b/kernel/src/site/RecordGossip.cpp
@@ -119,7 +119,7 @@
     fetch->version = version;
     fetch->beganAt = this->clock.now();
     this->runtime.spawn([this, fetch] {
-        for (const Member &member : this->fetchCandidates()) {
+        for (const Member &member : this->fetchCandidates(fetch->key)) {
             // A member that is away must not hold up the others, so the next one is asked as well.
             ++fetch->asked;
             ++fetch->pending;
@@ -141,7 +141,7 @@
     });
 }
 
-std::vector<Member> RecordGossip::fetchCandidates()
+std::vector<Member> RecordGossip::fetchCandidates(const RecordKey &key)
 {
     std::vector<Member> members = readMembers(this->gossip.store());
     std::erase_if(members, [this](const Member &member) {
@@ -150,6 +150,11 @@
     // A new order each time: members that have not got the record either would otherwise be asked
     // again and again.
     std::shuffle(members.begin(), members.end(), this->random);
+    // Peers that have told of the record are reachable and may have it.
+    const RumorId rumor{RumorKind::Record, rumorName(key)};
+    std::stable_partition(members.begin(), members.end(), [&](const Member &member) {
+        return this->gossip.store().isToldBy(rumor, member.name);
+    });
     members.resize(std::min(members.size(), kMaxFetchAttempts));
     return members;
 }
--- a/kernel/src/site/RecordGossip.h
+++ b/kernel/src/site/RecordGossip.h
@@ -50,7 +50,7 @@
 
     void fetch(const RecordKey &key, RecordVersion version);
     /// The peers to ask, in this order.
-    std::vector<Member> fetchCandidates();
+    std::vector<Member> fetchCandidates(const RecordKey &key);
     /// The replica has the record, from whomever.
     bool isKnown(const Fetch &fetch) const;
     /// Asks one peer and waits for its answer.
--- a/libs/membership/include/membership/RumorStore.h
+++ b/libs/membership/include/membership/RumorStore.h
@@ -33,6 +33,8 @@
     /// `peer` has told a rumor. It is not sent there again; the more peers tell one that was known,
     /// the fewer sends it needs.
     void onHeard(const Rumor &rumor, std::string_view peer, int maxSends);
+    /// Whether `peer` has told this version of the rumor. Peers may share an answer.
+    bool isToldBy(const RumorId &id, std::string_view peer) const;
     /// All rumors of the repaired kinds.
     std::vector<Rumor> repaired() const;
     /// Equal on two stores that hold equal rumors of the repaired kinds.
--- a/libs/membership/src/RumorStore.cpp
+++ b/libs/membership/src/RumorStore.cpp
@@ -134,6 +134,12 @@
     }
 }
 
+bool RumorStore::isToldBy(const RumorId &id, std::string_view peer) const
+{
+    const auto found = this->entries.find(id);
+    return found != this->entries.end() && (found->second.heardFrom & this->bitOf(peer)) != 0;
+}
+
 std::vector<Rumor> RumorStore::repaired() const
 {
     std::vector<Rumor> all;
