Retries of a lost store ask for one table after the other

Found by the review: after "store lost" only the first table by name was asked for, and all others waited until it answered. A store that refuses that table alone, and may be unavailable in part, hid the changes of all others for as long as it did so. Each retry now asks for the next table. Test "a table that the store refuses keeps no other table waiting": two of three changes were not learned before, all are now.

--- a/kernel/src/site/TableWatcher.cpp
+++ b/kernel/src/site/TableWatcher.cpp
@@ -147,7 +147,9 @@
             std::max(this->options.initialRetryDelay / 2, this->retryDelay() - lastRetryTook));
         const TimePoint retriedAt = this->clock.now();
         if (!this->known.empty() && this->consecutiveFailures > 0) {
-            this->checkTable(this->known.begin()->first);
+            // The store may refuse one table only, so each retry asks for the next one.
+            const auto next = static_cast<Duration::rep>(this->retries++ % this->known.size());
+            this->checkTable(std::next(this->known.begin(), next)->first);
         }
         lastRetryTook = this->clock.now() - retriedAt;
     }
--- a/kernel/src/site/TableWatcher.h
+++ b/kernel/src/site/TableWatcher.h
@@ -117,6 +117,7 @@
     /// Failures one after the other, since the store last was available for longer than a retry
     /// takes. Sets the time until the next retry.
     int failedRounds = 0;
+    std::size_t retries = 0;  ///< Made by checkTables() so far.
     bool hasTimedOut = false; ///< One of these failures is a timeout.
     bool stopping = false;
     std::size_t activeFibers = 0;
--- a/kernel/tests/TableWatcherTest.cpp
+++ b/kernel/tests/TableWatcherTest.cpp
@@ -57,7 +57,7 @@
         }
         const bool isLost =
             this->mood == Mood::Loses || (this->losesWatches && wait > Duration::zero());
-        if (this->mood == Mood::Refuses) {
+        if (this->mood == Mood::Refuses || name == this->refusedTable) {
             return absl::UnavailableError("busy");
         }
         if (!isLost && after < this->oldestKept) {
@@ -102,6 +102,7 @@
 
     Mood mood = Mood::Answers;
     bool losesWatches = false;    ///< Those that begin now, and only these.
+    std::string refusedTable;     ///< Calls for it are refused; a watch from before goes on.
     RecordVersion oldestKept = 0; ///< Watches from before are told that the history is gone.
     int calls = 0;
 
@@ -306,3 +307,23 @@
         },
         options);
 }
+
+// Guards against a store that refuses one table and thereby hides the changes of all others.
+TEST_CASE("a table that the store refuses keeps no other table waiting", "[watcher]")
+{
+    TableWatcherOptions options = Watched::options();
+    options.checkInterval = seconds(1);
+    options.initialRetryDelay = milliseconds(50);
+    options.batchDelay = milliseconds(150);
+    options.maxRetryDelay = milliseconds(300);
+    withWatcher(
+        [](Watched &watched) {
+            watched.store.refusedTable = kFirst;
+            watched.store.change(kFirst); // Ends its watch.
+            for (int change = 0; change < 3; ++change) {
+                CHECK(watched.learns(kSecond, watched.store.change(kSecond)));
+                watched.sleep(milliseconds(400));
+            }
+        },
+        options);
+}
