Log what an instance knows of its configuration's age with each rejection

A rejected request says only its reason, so that a late instance cannot be told from a current one, nor why it is late. "request turned away" now has the configuration in force, the time since the store confirmed it, since a peer was heard, the live instances and the age of the process. These tell the hypotheses of docs/incidents/routes-refused-by-late-instances.md apart: missed rumor (heard lately, all alive, not confirmed), cut off (few alive or not heard), young process; a fetch under way has lines of its own. A view that has been published directly is not published again by the fiber that waits for it.

--- a/kernel/src/relay/SiteHandlers.cpp
+++ b/kernel/src/relay/SiteHandlers.cpp
@@ -22,6 +22,7 @@
 /// milliseconds; a rejected caller would retry later than that.
 constexpr Duration kStartupTimeout = milliseconds(250);
 constexpr Duration kStartupPollInterval = milliseconds(5);
+constexpr std::int64_t kNeverConfirmed = -1; ///< In the log.
 
 } // namespace
 
@@ -42,21 +43,34 @@
     std::variant<AdmittedRequest, AdmissionError> admitted =
         admitRequest(exchange.request(), this->context);
     if (const auto *problem = std::get_if<AdmissionError>(&admitted)) {
-        const CallerHeaders caller =
-            this->context.requestCodec.parseCallerHeaders(exchange.request());
-        this->rejectedRequests.add();
-        this->context.log.write(LogKind::Failure, "request turned away",
-                                {{"request", caller.requestId},
-                                 {"reason", problem->reason},
-                                 {"status", std::int64_t{problem->status}}});
-        (void)exchange.respond(this->context.requestCodec.refusal(problem->status, problem->reason,
-                                                                  problem->retryAfter));
+        this->reject(exchange, *problem);
         return;
     }
     RequestForwarder(this->context, std::get<AdmittedRequest>(std::move(admitted)), exchange).run();
     this->latency.record(this->context.clock.now() - startedAt);
 }
 
+void RelayHandler::reject(HttpExchange &exchange, const AdmissionError &problem)
+{
+    const CallerHeaders caller = this->context.requestCodec.parseCallerHeaders(exchange.request());
+    const std::shared_ptr<const SiteView> view = this->context.control.view();
+    const SiteKnowledge knowledge = this->context.control.knowledge();
+    const std::int64_t confirmedMs =
+        knowledge.sinceConfirmed ? wholeMillis(*knowledge.sinceConfirmed) : kNeverConfirmed;
+    this->rejectedRequests.add();
+    this->context.log.write(LogKind::Failure, "request turned away",
+                            {{"request", caller.requestId},
+                             {"reason", problem.reason},
+                             {"status", std::int64_t{problem.status}},
+                             {"configuration", view->catalog ? view->catalog->version() : 0},
+                             {"confirmedMs", confirmedMs},
+                             {"heardMs", wholeMillis(knowledge.sinceHeard)},
+                             {"liveInstances", std::int64_t{view->liveInstances}},
+                             {"runningMs", wholeMillis(knowledge.running)}});
+    (void)exchange.respond(this->context.requestCodec.refusal(problem.status, problem.reason,
+                                                              problem.retryAfter));
+}
+
 void RelayHandler::waitForConfiguration()
 {
     const TimePoint until = this->context.clock.now() + kStartupTimeout;
--- a/kernel/src/relay/SiteHandlers.h
+++ b/kernel/src/relay/SiteHandlers.h
@@ -2,6 +2,7 @@
 // metrics.
 #pragma once
 
+#include "AdmittedRequest.h"
 #include "RelayContext.h"
 
 #include <runtime/HttpServer.h>
@@ -22,6 +23,7 @@
 private:
     /// Waits until a starting process has read its configuration, instead of rejecting the request.
     void waitForConfiguration();
+    void reject(HttpExchange &exchange, const AdmissionError &problem);
 
     RelayContext &context;
     Counter &requests;
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -116,9 +116,13 @@
                         this->onTableSnapshot(table, page);
                     },
                     [this](const std::string &, const RecordPage &page) { this->onChanges(page); },
+                    [this](const std::string &table, TimePoint asOf) {
+                        this->onTableCurrent(table, asOf);
+                    },
                     [this](bool isAvailable) { this->onStoreAccess(isAvailable); }},
                    clock, log, metrics, hash64(this->ownIncarnation, 1))
 {
+    this->peerHeardAt.store(this->startedAt);
     this->addSeeds();
     this->peers.onRumors([this] { this->onRumors(); });
 }
@@ -253,6 +257,30 @@
     this->applyChanges(changed, "store");
 }
 
+void SiteControl::onTableCurrent(const std::string &table, TimePoint asOf)
+{
+    if (table != this->catalogTable || asOf <= this->catalogConfirmedAt.load()) {
+        return;
+    }
+    if (this->publishScheduled) {
+        this->publish(); // The traffic thread must not take an older view for confirmed.
+    }
+    this->catalogConfirmedAt.store(asOf);
+}
+
+SiteKnowledge SiteControl::knowledge() const
+{
+    const TimePoint now = this->clock.now();
+    const TimePoint confirmedAt = this->catalogConfirmedAt.load();
+    SiteKnowledge knowledge;
+    if (confirmedAt != TimePoint::min()) {
+        knowledge.sinceConfirmed = now - confirmedAt;
+    }
+    knowledge.sinceHeard = now - this->peerHeardAt.load();
+    knowledge.running = now - this->startedAt;
+    return knowledge;
+}
+
 bool SiteControl::mergeRecord(const Record &record, std::string_view from)
 {
     if (!this->replica.merge(record)) {
@@ -324,6 +352,7 @@
     }
     if (auto *configured = std::get_if<CatalogUpdate>(&*update)) {
         this->catalog = std::move(configured->catalog);
+        this->catalogTable = record.key.table;
         this->log.write(
             LogKind::State, "configuration in force",
             {{"configuration", this->catalog->version()}, {"record", version}, {"from", from}});
@@ -405,6 +434,7 @@
 void SiteControl::tick()
 {
     this->recordDelay();
+    this->peerHeardAt.store(this->clock.now() - this->gossip.sinceHeard());
     this->dropExpiredRumors();
     const std::shared_ptr<const SiteView> current = this->published.get();
     this->rollouts.tick(this->tableWatcher.storeTime(), *current->upstreams);
@@ -439,7 +469,9 @@
     this->runtime.spawn([this] {
         const Duration pause = this->publishedAt + kPublishInterval - this->clock.now();
         this->runtime.sleepFor(std::max(Duration::zero(), pause));
-        this->publish();
+        if (this->publishScheduled) {
+            this->publish();
+        }
     });
 }
 
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -16,6 +16,7 @@
 #include <telemetry/Metrics.h>
 #include <upstreams/Presence.h>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -39,6 +40,15 @@
     PromptPartGossip::ReportHandler promptPart;
 };
 
+/// How old this instance's knowledge of the site is.
+struct SiteKnowledge
+{
+    /// Since the store confirmed that no newer configuration exists; empty if it never did.
+    std::optional<Duration> sinceConfirmed;
+    Duration sinceHeard{}; ///< Since a message of another instance.
+    Duration running{};    ///< Since the start of the process.
+};
+
 /// Owns the control thread. Public methods may be called from any thread unless they say otherwise.
 class SiteControl
 {
@@ -55,6 +65,7 @@
     absl::Status start();
     /// The latest published view; never null.
     std::shared_ptr<const SiteView> view() const { return this->published.get(); }
+    SiteKnowledge knowledge() const;
     /// Identifies this process among all processes of the instance.
     const std::string &incarnation() const { return this->ownIncarnation; }
     /// Counts an answer for the roll-out of its service.
@@ -82,6 +93,8 @@
     void applyInternalRecord(const Record &record);
     void onTableSnapshot(const std::string &table, const RecordPage &page);
     void onChanges(const RecordPage &page);
+    /// Every change of `table` before `asOf` has been applied.
+    void onTableCurrent(const std::string &table, TimePoint asOf);
     void onRumors();
     /// Starts a round of gossip now instead of at the next interval.
     void scheduleGossip();
@@ -137,6 +150,11 @@
     RolloutController rollouts;
     TableWatcher tableWatcher;
     std::shared_ptr<const Catalog> catalog;
+    std::string catalogTable; ///< Of the catalog's record; empty until one is known.
+    /// Every configuration that the store acknowledged before this is in the published view;
+    /// TimePoint::min() until the store has confirmed that.
+    std::atomic<TimePoint> catalogConfirmedAt{TimePoint::min()};
+    std::atomic<TimePoint> peerHeardAt{}; ///< As of the latest tick.
     std::uint64_t publishedGossipDigest = 0;    ///< Gossip digest of the published view.
     std::uint64_t publishedRolloutRevision = 0; ///< Roll-out revision of the published view.
     std::map<std::string, MemberState> loggedMemberStates;
--- a/kernel/src/site/TableWatcher.cpp
+++ b/kernel/src/site/TableWatcher.cpp
@@ -94,10 +94,9 @@
             this->clockOffset = page->storeTime - this->clock.now().time_since_epoch();
             this->onAnswer();
             if (isRead) {
-                this->applyChanges(table, *page);
+                this->applyChanges(table, *page, beganAt);
             } else {
-                this->listener.onSnapshot(table, *page);
-                this->known[table] = page->version;
+                this->applySnapshot(table, *page, beganAt);
             }
             if (!isFirst && !page->records.empty()) {
                 this->runtime.sleepFor(this->options.batchDelay);
@@ -184,7 +183,7 @@
             // The answer of the watch is lost, or about to arrive.
             this->renewWatch(table);
         }
-        this->applyChanges(table, *page);
+        this->applyChanges(table, *page, beganAt);
     } else if (absl::IsOutOfRange(page.status())) {
         this->onAnswer();
         this->renewWatch(table); // It finds the history gone as well and reads the table.
@@ -193,7 +192,15 @@
     }
 }
 
-void TableWatcher::applyChanges(const std::string &table, const RecordPage &page)
+void TableWatcher::applySnapshot(const std::string &table, const RecordPage &page,
+                                 TimePoint beganAt)
+{
+    this->listener.onSnapshot(table, page);
+    this->known[table] = page.version;
+    this->listener.onCurrent(table, beganAt);
+}
+
+void TableWatcher::applyChanges(const std::string &table, const RecordPage &page, TimePoint beganAt)
 {
     const auto known = this->known.find(table);
     if (known == this->known.end()) {
@@ -201,6 +208,7 @@
     }
     known->second = std::max(known->second, page.version);
     this->listener.onChanges(table, page);
+    this->listener.onCurrent(table, beganAt);
 }
 
 void TableWatcher::onAnswer()
--- a/kernel/src/site/TableWatcher.h
+++ b/kernel/src/site/TableWatcher.h
@@ -43,6 +43,8 @@
     std::function<void(const std::string &table, const RecordPage &page)> onSnapshot;
     /// `page` has the records that have changed.
     std::function<void(const std::string &table, const RecordPage &page)> onChanges;
+    /// Every change of `table` before `asOf` has been passed to the callbacks above.
+    std::function<void(const std::string &table, TimePoint asOf)> onCurrent;
     /// The store has become available or unavailable.
     std::function<void(bool isAvailable)> onAvailability;
 };
@@ -88,8 +90,11 @@
     /// Fetches the changes of a table without waiting.
     void checkTable(const std::string &table);
     absl::StatusOr<RecordPage> fetch(const std::string &table);
-    /// Applies `page`, the answer to a call for the changes after the known version.
-    void applyChanges(const std::string &table, const RecordPage &page);
+    /// Applies `page`, the answer to a call for the changes after the known version that began at
+    /// `beganAt`.
+    void applyChanges(const std::string &table, const RecordPage &page, TimePoint beganAt);
+    /// Applies `page`, the whole table, read by a call that began at `beganAt`.
+    void applySnapshot(const std::string &table, const RecordPage &page, TimePoint beganAt);
     void onAnswer();
     /// `beganAt` is the start of the call that has failed.
     void onFailure(const std::string &table, const absl::Status &status, TimePoint beganAt);
--- a/kernel/tests/TableWatcherTest.cpp
+++ b/kernel/tests/TableWatcherTest.cpp
@@ -129,6 +129,7 @@
         , watcher(runtime, this->store, {kFirst, kSecond}, options,
                   {[this](const auto &table, const auto &page) { this->onPage(table, page); },
                    [this](const auto &table, const auto &page) { this->onPage(table, page); },
+                   [](const auto &, TimePoint) {},
                    [this](bool isAvailable) { this->isAvailable = isAvailable; }},
                   this->clock, this->log, this->metrics, 1)
     {
