Gossip: refresh what has changed lately, so that a missed rumor is not late by a repair

Callers saw added routes refused by one or two of 73 instances (CONFIG). A rumor is sent a bounded number of times and then no more; an instance whose exchanges fail in that second learns of the change only by a repair, of which it starts one in five seconds, while three are allowed.

Records that have changed within six seconds, at most 16, and always the one of the configuration are sent again every 750 ms, a few times by each instance; an instance that tells an older version gets the newer one in the reply.

Not shown on real processes.

--- a/kernel/src/relay/SiteHandlers.cpp
+++ b/kernel/src/relay/SiteHandlers.cpp
@@ -67,8 +67,8 @@
                              {"heardMs", wholeMillis(knowledge.sinceHeard)},
                              {"liveInstances", std::int64_t{view->liveInstances}},
                              {"runningMs", wholeMillis(knowledge.running)}});
-    (void)exchange.respond(this->context.requestCodec.refusal(problem.status, problem.reason,
-                                                              problem.retryAfter));
+    (void)exchange.respond(
+        this->context.requestCodec.refusal(problem.status, problem.reason, problem.retryAfter));
 }
 
 void RelayHandler::waitForConfiguration()
--- a/kernel/src/site/RecordGossip.cpp
+++ b/kernel/src/site/RecordGossip.cpp
@@ -25,6 +25,9 @@
 /// After this the next peer is asked as well. Above the usual time of an answer, so that a large
 /// record is seldom sent twice.
 constexpr Duration kNextPeerDelay = milliseconds(100);
+/// Above the interval of repairs, which bring what has been missed before.
+constexpr Duration kRefreshTime = seconds(6);
+constexpr std::size_t kMaxRefreshed = 16; ///< A burst of registrations would fill the messages.
 
 std::string rumorName(const RecordKey &key)
 {
@@ -70,6 +73,24 @@
 {
     this->gossip.tell(
         {{RumorKind::Record, rumorName(record.key)}, record.version, encodePayload(record)});
+    this->recent.emplace_back(record.key, this->clock.now());
+    if (this->recent.size() > kMaxRefreshed) {
+        this->recent.pop_front();
+    }
+}
+
+void RecordGossip::refresh(const std::optional<RecordKey> &always)
+{
+    const TimePoint oldest = this->clock.now() - kRefreshTime;
+    while (!this->recent.empty() && this->recent.front().second < oldest) {
+        this->recent.pop_front();
+    }
+    for (const auto &[key, announcedAt] : this->recent) {
+        this->gossip.refresh({RumorKind::Record, rumorName(key)});
+    }
+    if (always) {
+        this->gossip.refresh({RumorKind::Record, rumorName(*always)});
+    }
 }
 
 void RecordGossip::processRumors()
--- a/kernel/src/site/RecordGossip.h
+++ b/kernel/src/site/RecordGossip.h
@@ -12,9 +12,12 @@
 #include <telemetry/EventLog.h>
 #include <telemetry/Metrics.h>
 
+#include <deque>
 #include <functional>
+#include <optional>
 #include <random>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace basilnotch {
@@ -32,6 +35,9 @@
 
     /// Publishes a new record, from the store or from a peer, to the peers.
     void announce(const Record &record);
+    /// Sends the records that have changed lately, and the one of `always`, to the peers again, so
+    /// that an instance that has missed a change need not wait for a repair.
+    void refresh(const std::optional<RecordKey> &always);
     /// Handles the records in gossip that are newer than those in the replica.
     void processRumors();
 
@@ -70,6 +76,7 @@
     Counter &failedFetches;
     std::mt19937_64 random;
     std::set<RecordKey> fetching;
+    std::deque<std::pair<RecordKey, TimePoint>> recent; ///< Announced lately, oldest first.
     std::uint64_t processedDigest = 0; ///< Digest of the gossip that was processed last.
 };
 
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -23,6 +23,8 @@
 /// A few rounds reach every instance well within the time limit for a change to take effect.
 constexpr Duration kGossipInterval = milliseconds(250);
 constexpr Duration kTickInterval = milliseconds(200);
+/// Less than the time within which changes must take effect, with time for a second refresh.
+constexpr Duration kRefreshInterval = milliseconds(750);
 /// A control thread that is this late delays every change that peers or the store tell.
 constexpr Duration kOverloadDelay = milliseconds(200);
 /// Least time between two views. Both threads pay for each view as much as for the whole site, so
@@ -111,16 +113,15 @@
     , promptParts(this->gossip, clock, kCrashRetention)
     , rollouts(this->runtime, *this->store, adapter.recordCodec(), this->gossip, this->peers, clock,
                log)
-    , tableWatcher(this->runtime, *this->store, this->tables, {},
-                   {[this](const std::string &table, const RecordPage &page) {
-                        this->onTableSnapshot(table, page);
-                    },
-                    [this](const std::string &, const RecordPage &page) { this->onChanges(page); },
-                    [this](const std::string &table, TimePoint asOf) {
-                        this->onTableCurrent(table, asOf);
-                    },
-                    [this](bool isAvailable) { this->onStoreAccess(isAvailable); }},
-                   clock, log, metrics, hash64(this->ownIncarnation, 1))
+    , tableWatcher(
+          this->runtime, *this->store, this->tables, {},
+          {[this](const std::string &table, const RecordPage &page) {
+               this->onTableSnapshot(table, page);
+           },
+           [this](const std::string &, const RecordPage &page) { this->onChanges(page); },
+           [this](const std::string &table, TimePoint asOf) { this->onTableCurrent(table, asOf); },
+           [this](bool isAvailable) { this->onStoreAccess(isAvailable); }},
+          clock, log, metrics, hash64(this->ownIncarnation, 1))
 {
     this->peerHeardAt.store(this->startedAt);
     this->addSeeds();
@@ -143,6 +144,7 @@
     this->tableWatcher.start();
     this->runEvery(kGossipInterval, [this] { this->peers.gossipRound(); });
     this->runEvery(kTickInterval, [this] { this->tick(); });
+    this->runEvery(kRefreshInterval, [this] { this->recordGossip.refresh(this->catalogRecord); });
     this->publish();
     this->thread = std::thread([this] { this->runtime.run(); });
     return absl::OkStatus();
@@ -259,7 +261,8 @@
 
 void SiteControl::onTableCurrent(const std::string &table, TimePoint asOf)
 {
-    if (table != this->catalogTable || asOf <= this->catalogConfirmedAt.load()) {
+    const bool hasCatalog = this->catalogRecord && this->catalogRecord->table == table;
+    if (!hasCatalog || asOf <= this->catalogConfirmedAt.load()) {
         return;
     }
     if (this->publishScheduled) {
@@ -352,7 +355,7 @@
     }
     if (auto *configured = std::get_if<CatalogUpdate>(&*update)) {
         this->catalog = std::move(configured->catalog);
-        this->catalogTable = record.key.table;
+        this->catalogRecord = record.key;
         this->log.write(
             LogKind::State, "configuration in force",
             {{"configuration", this->catalog->version()}, {"record", version}, {"from", from}});
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -150,11 +150,11 @@
     RolloutController rollouts;
     TableWatcher tableWatcher;
     std::shared_ptr<const Catalog> catalog;
-    std::string catalogTable; ///< Of the catalog's record; empty until one is known.
+    std::optional<RecordKey> catalogRecord; ///< Key of the record with the catalog.
     /// Every configuration that the store acknowledged before this is in the published view;
     /// TimePoint::min() until the store has confirmed that.
     std::atomic<TimePoint> catalogConfirmedAt{TimePoint::min()};
-    std::atomic<TimePoint> peerHeardAt{}; ///< As of the latest tick.
+    std::atomic<TimePoint> peerHeardAt{};       ///< As of the latest tick.
     std::uint64_t publishedGossipDigest = 0;    ///< Gossip digest of the published view.
     std::uint64_t publishedRolloutRevision = 0; ///< Roll-out revision of the published view.
     std::map<std::string, MemberState> loggedMemberStates;
--- a/libs/membership/include/membership/Gossip.h
+++ b/libs/membership/include/membership/Gossip.h
@@ -76,6 +76,9 @@
 
     /// Tells a rumor of our own; true when it was news.
     bool tell(const Rumor &rumor);
+    /// Sends a known rumor again a few times, however often it has been sent: an instance that has
+    /// missed it must not wait for a repair.
+    void refresh(const RumorId &id);
     /// Says that this instance is about to stop.
     void leave();
 
--- a/libs/membership/include/membership/RumorStore.h
+++ b/libs/membership/include/membership/RumorStore.h
@@ -33,8 +33,11 @@
     /// than `maxSends` times, urgent kinds and less often sent ones first. Counts them as sent.
     std::vector<Rumor> takeForSending(std::string_view peer, std::size_t maxBytes, int maxSends);
     /// `peer` has told a rumor. It is not sent there again; the more peers tell one that was known,
-    /// the fewer sends it needs.
+    /// the fewer sends it needs. A peer that tells an older version gets the known one.
     void onHeard(const Rumor &rumor, std::string_view peer, int maxSends);
+    /// Sends a rumor also to peers that have told it, and a few times more if it has been sent
+    /// `maxSends` times.
+    void sendAgain(const RumorId &id, int maxSends);
     /// Whether `peer` has told this version of the rumor. Peers may share an answer.
     bool isToldBy(const RumorId &id, std::string_view peer) const;
     /// All rumors of the repaired kinds, and those told at a start.
@@ -57,6 +60,8 @@
 
     /// Peers share bits: one that shares the bit of a peer that knows a rumor hears it from others.
     std::uint64_t bitOf(std::string_view peer) const;
+    /// Puts a rumor whose sends are used up back into the queue for `sends` more.
+    void queueAgain(Entry &entry, int sends, int maxSends);
 
     const std::uint64_t salt;
     Entries entries;
--- a/libs/membership/src/Gossip.cpp
+++ b/libs/membership/src/Gossip.cpp
@@ -47,6 +47,11 @@
     return this->rumors.merge(rumor);
 }
 
+void Gossip::refresh(const RumorId &id)
+{
+    this->rumors.sendAgain(id, this->maxSends());
+}
+
 std::optional<Member> Gossip::member(const std::string &name) const
 {
     const Rumor *rumor = this->rumors.find({RumorKind::Member, name});
--- a/libs/membership/src/RumorStore.cpp
+++ b/libs/membership/src/RumorStore.cpp
@@ -15,6 +15,9 @@
 /// Hearing a known rumor from so many peers stands for all its sends: by then most instances know
 /// it. One peer that tells it often says nothing of the others.
 constexpr int kPeersToStop = 6;
+/// Each instance sends a refreshed rumor so often: together they reach every instance several
+/// times.
+constexpr int kRefreshSends = 4;
 
 std::uint64_t rumorHash(const Rumor &rumor)
 {
@@ -126,10 +129,15 @@
 void RumorStore::onHeard(const Rumor &rumor, std::string_view peer, int maxSends)
 {
     const auto found = this->entries.find(rumor.id);
-    if (found == this->entries.end() || rumor.version < found->second.rumor.version) {
+    if (found == this->entries.end()) {
         return;
     }
     Entry &entry = found->second;
+    if (rumor.version < entry.rumor.version) {
+        entry.heardFrom &= ~this->bitOf(peer);
+        this->queueAgain(entry, 1, maxSends);
+        return;
+    }
     const std::uint64_t before = entry.heardFrom;
     entry.heardFrom |= this->bitOf(peer);
     const bool isFirstTeller = before == 0; // From whom this instance may have it.
@@ -142,6 +150,23 @@
     }
 }
 
+void RumorStore::sendAgain(const RumorId &id, int maxSends)
+{
+    const auto found = this->entries.find(id);
+    if (found != this->entries.end()) {
+        found->second.heardFrom = 0;
+        this->queueAgain(found->second, kRefreshSends, maxSends);
+    }
+}
+
+void RumorStore::queueAgain(Entry &entry, int sends, int maxSends)
+{
+    if (entry.sends >= maxSends) {
+        entry.sends = std::max(0, maxSends - sends);
+        this->queue[{static_cast<int>(entry.rumor.id.kind), entry.sends}].push_back(entry.rumor.id);
+    }
+}
+
 bool RumorStore::isToldBy(const RumorId &id, std::string_view peer) const
 {
     const auto found = this->entries.find(id);
--- a/libs/membership/tests/GossipTest.cpp
+++ b/libs/membership/tests/GossipTest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <random>
 #include <set>
 
 using namespace basilnotch;
@@ -82,6 +83,21 @@
         return *this->nodes[static_cast<std::size_t>(std::stoi(name.substr(1)))];
     }
 
+    /// Draws whether a message between two instances is lost.
+    bool isLost(const std::string &from, const std::string &to)
+    {
+        const bool isUnreliable = this->unreliable.contains(from) || this->unreliable.contains(to);
+        return std::bernoulli_distribution(isUnreliable ? this->lossOfUnreliable
+                                                        : this->loss)(this->random);
+    }
+
+    void fail(Gossip &from, const Outgoing &outgoing)
+    {
+        for (const Outgoing &probe : from.onFailure(outgoing)) {
+            this->deliver(from, probe);
+        }
+    }
+
     void deliver(Gossip &from, const Outgoing &outgoing)
     {
         const std::string text = encodeMessage(outgoing.message);
@@ -89,10 +105,8 @@
         const auto decoded = decodeMessage(text);
         REQUIRE(decoded.ok());
         const std::string peer = "e" + std::to_string(outgoing.endpoint.port - 1000);
-        if (!this->reaches(from.self().name, peer)) {
-            for (const Outgoing &probe : from.onFailure(outgoing)) {
-                this->deliver(from, probe);
-            }
+        if (!this->reaches(from.self().name, peer) || this->isLost(from.self().name, peer)) {
+            this->fail(from, outgoing);
             return;
         }
         if (outgoing.message.purpose == GossipPurpose::Probe) {
@@ -104,6 +118,10 @@
         }
         const GossipMessage reply = this->node(peer).onMessage(*decoded);
         this->bytes += encodeMessage(reply).size();
+        if (this->isLost(peer, from.self().name)) {
+            this->fail(from, outgoing);
+            return;
+        }
         from.onReply(outgoing, reply);
     }
 
@@ -140,6 +158,10 @@
     ManualClock clock;
     std::vector<std::unique_ptr<Gossip>> nodes;
     std::set<std::string> down;
+    std::set<std::string> unreliable; ///< Lose more of their messages than the others.
+    double loss = 0;                  ///< Share of messages.
+    double lossOfUnreliable = 0;
+    std::mt19937 random{1};
     std::size_t bytes = 0; ///< Of all messages and replies.
 };
 
@@ -425,3 +447,44 @@
     }
     CHECK(late == 0);
 }
+
+// Guards against an instance that misses a change because its exchanges fail while the others still
+// tell of it, and then learns of it only by a repair, which may be five seconds away (CONFIG).
+TEST_CASE("instances whose exchanges often fail learn of each change of a refreshed record in time")
+{
+    constexpr int kInstances = 73;
+    constexpr int kUnreliable = 6;
+    constexpr int kRoundsUntilLate = 15; // Three seconds, as at a site of this size.
+    constexpr int kRefreshRounds = 5;    // Once a second.
+    constexpr int kChanges = 60;
+    Net net(kInstances, true);
+    net.rounds(60);
+    net.loss = 0.1;
+    net.lossOfUnreliable = 0.5;
+    for (int number = 0; number < kUnreliable; ++number) {
+        net.unreliable.insert("e" + std::to_string(10 + number));
+    }
+    const RumorId id{RumorKind::Record, "configuration"};
+    int late = 0;
+    for (int change = 1; change <= kChanges; ++change) {
+        const auto version = static_cast<std::uint64_t>(change);
+        net.nodes[static_cast<std::size_t>(change % 8)]->tell({id, version, "f"});
+        for (int round = 0; round < kRoundsUntilLate; ++round) {
+            if (round % kRefreshRounds == 0) {
+                for (auto &node : net.nodes) {
+                    node->refresh(id);
+                }
+            }
+            // Other news, so that digests always differ.
+            const std::string other = "other" + std::to_string(round);
+            net.nodes[static_cast<std::size_t>(round)]->tell(
+                {{RumorKind::Record, other}, version, "x"});
+            net.rounds(1);
+        }
+        for (auto &node : net.nodes) {
+            const Rumor *known = node->store().find(id);
+            late += known && known->version == version ? 0 : 1;
+        }
+    }
+    CHECK(late == 0);
+}
