Gossip: start a repair again after one that has failed

An instance that is behind starts one repair in five seconds. When its message or the reply was lost, it stayed behind for that time, which is more than a change may take (CONFIG, DRAIN). A failed repair no longer counts as started.

Evidence: test_membership "a repair that has failed is started again with the next exchange": one repair in ten rounds before, more after.

--- a/libs/membership/src/Gossip.cpp
+++ b/libs/membership/src/Gossip.cpp
@@ -239,6 +239,9 @@
     if (request.message.purpose == GossipPurpose::Probe) {
         return {};
     }
+    if (request.message.purpose == GossipPurpose::Repair) {
+        this->lastRepair = this->clock.now() - this->options.repairInterval;
+    }
     const Rumor *target = this->rumors.find({RumorKind::Member, request.peer});
     if (!target || target->version % 2 == 1) {
         return {};
--- a/libs/membership/tests/GossipTest.cpp
+++ b/libs/membership/tests/GossipTest.cpp
@@ -488,3 +488,29 @@
     }
     CHECK(late == 0);
 }
+
+// Guards against an instance that stays behind for five seconds because the message of its repair
+// was lost.
+TEST_CASE("a repair that has failed is started again with the next exchange")
+{
+    Net net(3);
+    net.rounds(60);
+    Gossip &behind = net.node("e2");
+    net.down.insert("e2");
+    net.node("e0").tell({{RumorKind::Hold, "small/v1/v2"}, 1, "errors"});
+    net.rounds(60);
+    net.down.clear();
+    int repairs = 0;
+    for (int round = 0; round < 10; ++round) {
+        net.clock.advance(Net::kRound);
+        for (const Outgoing &outgoing : behind.round()) {
+            if (outgoing.message.purpose == GossipPurpose::Repair) {
+                ++repairs;
+                net.fail(behind, outgoing);
+            } else {
+                net.deliver(behind, outgoing);
+            }
+        }
+    }
+    CHECK(repairs > 1);
+}
