Admission: reject a route or key as wrong only by a confirmed configuration

Whatever makes an instance late, it must not take what its catalog lacks for wrong: only the newest catalog can say.

Before it rejects a request for an unknown route or key, an instance makes sure that the store had no newer configuration within the last second. A newer configuration that is found is in force at once. If nobody can tell, the request is rejected with 503 and Retry-After, at once when there is nobody to ask. Requests that the catalog allows wait for nothing.

"an instance that cannot ask anybody rejects what it does not know for now only": 404 before, 503 after. test_kernel "[confirm]" is new code's own. The users' cases are refusals of this kind; what made their instances late is not shown.

--- a/kernel/src/control/PeerMessenger.h
+++ b/kernel/src/control/PeerMessenger.h
@@ -22,7 +22,8 @@
     ReleaseReceiptCopies = 'x', ///< The table has all batches up to this one.
     FetchRules = 'r',           ///< Returns the rules file in force.
     FetchRecord = 'o',          ///< Returns a record of the platform's store.
-    RolloutCounts = 'v', ///< Counts for a collector of a roll-out, or notice that it is held.
+    ConfirmCatalog = 'k', ///< Returns how lately the store has confirmed the catalog's record.
+    RolloutCounts = 'v',  ///< Counts for a collector of a roll-out, or notice that it is held.
 };
 
 /// Control thread only.
--- a/kernel/src/relay/AdmittedRequest.cpp
+++ b/kernel/src/relay/AdmittedRequest.cpp
@@ -51,12 +51,11 @@
     return found && found->engine ? &*found->engine : nullptr;
 }
 
-std::variant<AdmittedRequest, AdmissionError> admitRequest(const HttpRequest &http,
-                                                           const RelayContext &context)
+Admission admitRequest(const HttpRequest &http, TimePoint arrivedAt, const RelayContext &context)
 {
     AdmittedRequest request;
     request.http = &http;
-    request.arrivedAt = context.clock.now();
+    request.arrivedAt = arrivedAt;
     request.view = context.control.view();
     if (!request.view->catalog) {
         return AdmissionError{status::kUnavailable, "no configuration yet", kRetryAfterStartup};
@@ -67,7 +66,7 @@
     }
     request.route = catalog.match(http.headers.find("Host"), http.path());
     if (!request.route) {
-        return AdmissionError{status::kNotFound, "no such route", std::nullopt};
+        return AdmissionError{status::kNotFound, "no such route", std::nullopt, true};
     }
     const Route &route = *request.route;
     request.caller = context.requestCodec.parseCallerHeaders(http);
@@ -75,7 +74,7 @@
     if (catalog.hasWorkspaces() && !route.isPublic) {
         const CatalogWorkspace *workspace = catalog.workspaceOf(request.caller.key);
         if (!workspace) {
-            return AdmissionError{status::kUnauthorized, "unknown key", std::nullopt};
+            return AdmissionError{status::kUnauthorized, "unknown key", std::nullopt, true};
         }
         request.workspace = workspace->name;
         request.priority = workspace->priority.value_or(route.priority);
--- a/kernel/src/relay/AdmittedRequest.h
+++ b/kernel/src/relay/AdmittedRequest.h
@@ -39,9 +39,13 @@
     int status = 503;
     std::string reason;
     std::optional<Duration> retryAfter;
+    /// The catalog lacks the route or the key, so that a newer one may allow the request.
+    bool dependsOnCatalog = false;
 };
 
-std::variant<AdmittedRequest, AdmissionError> admitRequest(const HttpRequest &http,
-                                                           const RelayContext &context);
+using Admission = std::variant<AdmittedRequest, AdmissionError>;
+
+/// `arrivedAt` is the time at which the request was read.
+Admission admitRequest(const HttpRequest &http, TimePoint arrivedAt, const RelayContext &context);
 
 } // namespace basilnotch
--- a/kernel/src/relay/SiteHandlers.cpp
+++ b/kernel/src/relay/SiteHandlers.cpp
@@ -22,6 +22,8 @@
 /// milliseconds; a rejected caller would retry later than that.
 constexpr Duration kStartupTimeout = milliseconds(250);
 constexpr Duration kStartupPollInterval = milliseconds(5);
+/// By then the next attempt to confirm the configuration has been made.
+constexpr Duration kRetryAfterUnconfirmed = milliseconds(500);
 constexpr std::int64_t kNeverConfirmed = -1; ///< In the log.
 
 } // namespace
@@ -40,8 +42,7 @@
     this->requests.add();
     const TimePoint startedAt = this->context.clock.now();
     this->waitForConfiguration();
-    std::variant<AdmittedRequest, AdmissionError> admitted =
-        admitRequest(exchange.request(), this->context);
+    Admission admitted = this->admit(exchange.request(), startedAt);
     if (const auto *problem = std::get_if<AdmissionError>(&admitted)) {
         this->reject(exchange, *problem);
         return;
@@ -50,6 +51,26 @@
     this->latency.record(this->context.clock.now() - startedAt);
 }
 
+Admission RelayHandler::admit(const HttpRequest &request, TimePoint arrivedAt)
+{
+    const auto dependsOnCatalog = [](const Admission &admission) {
+        const auto *problem = std::get_if<AdmissionError>(&admission);
+        return problem && problem->dependsOnCatalog;
+    };
+    const bool wasConfirmed = this->context.control.isCatalogConfirmed();
+    Admission first = admitRequest(request, arrivedAt, this->context);
+    if (wasConfirmed || !dependsOnCatalog(first)) {
+        return first;
+    }
+    const bool isConfirmed = this->context.control.confirmCatalog();
+    Admission second = admitRequest(request, arrivedAt, this->context);
+    if (!isConfirmed && dependsOnCatalog(second)) {
+        return AdmissionError{status::kUnavailable, "the configuration may be out of date",
+                              kRetryAfterUnconfirmed};
+    }
+    return second;
+}
+
 void RelayHandler::reject(HttpExchange &exchange, const AdmissionError &problem)
 {
     const CallerHeaders caller = this->context.requestCodec.parseCallerHeaders(exchange.request());
--- a/kernel/src/relay/SiteHandlers.h
+++ b/kernel/src/relay/SiteHandlers.h
@@ -23,6 +23,9 @@
 private:
     /// Waits until a starting process has read its configuration, instead of rejecting the request.
     void waitForConfiguration();
+    /// Admits the request, or rejects it. A request that a newer catalog may allow is held until
+    /// the store has confirmed that there is none.
+    Admission admit(const HttpRequest &request, TimePoint arrivedAt);
     void reject(HttpExchange &exchange, const AdmissionError &problem);
 
     RelayContext &context;
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -4,6 +4,7 @@
 #include "StoreAccess.h"
 
 #include <base/Hash.h>
+#include <runtime/FiberEvent.h>
 #include <runtime/FiberRuntime.h>
 
 #include <absl/strings/match.h>
@@ -25,6 +26,11 @@
 constexpr Duration kTickInterval = milliseconds(200);
 /// Less than the time within which changes must take effect, with time for a second refresh.
 constexpr Duration kRefreshInterval = milliseconds(750);
+/// A request is rejected as wrong only by a catalog that was the newest one so long ago, or later.
+/// Less than the time within which changes must take effect.
+constexpr Duration kMaxCatalogAge = milliseconds(1000);
+/// Above the time of an attempt of CatalogConfirmer.
+constexpr Duration kConfirmTimeout = milliseconds(600);
 /// A control thread that is this late delays every change that peers or the store tell.
 constexpr Duration kOverloadDelay = milliseconds(200);
 /// Least time between two views. Both threads pay for each view as much as for the whole site, so
@@ -122,6 +128,8 @@
            [this](const std::string &table, TimePoint asOf) { this->onTableCurrent(table, asOf); },
            [this](bool isAvailable) { this->onStoreAccess(isAvailable); }},
           clock, log, metrics, hash64(this->ownIncarnation, 1))
+    , catalogConfirmer(this->runtime, this->gossip, this->peers, this->replica,
+                       this->confirmerOptions(), clock, log, metrics)
 {
     this->peerHeardAt.store(this->startedAt);
     this->addSeeds();
@@ -261,23 +269,59 @@
 
 void SiteControl::onTableCurrent(const std::string &table, TimePoint asOf)
 {
-    const bool hasCatalog = this->catalogRecord && this->catalogRecord->table == table;
-    if (!hasCatalog || asOf <= this->catalogConfirmedAt.load()) {
-        return;
-    }
-    if (this->publishScheduled) {
-        this->publish(); // The traffic thread must not take an older view for confirmed.
+    if (this->catalogRecord && this->catalogRecord->table == table) {
+        this->publishPending(); // The traffic thread must not take an older view for confirmed.
+        this->catalogConfirmer.onConfirmed(asOf);
     }
-    this->catalogConfirmedAt.store(asOf);
+}
+
+CatalogConfirmerOptions SiteControl::confirmerOptions()
+{
+    CatalogConfirmerOptions options;
+    options.record = [this] { return this->catalogRecord; };
+    options.isWatching = [this] {
+        return this->tableWatcher.isWatching(this->catalogRecord->table);
+    };
+    options.hasStore = [this] { return this->tableWatcher.isAvailable(); };
+    options.askStore = [this] { this->tableWatcher.refresh(this->catalogRecord->table); };
+    options.watchers = [this] { return this->catalogWatchers(); };
+    options.apply = [this](const Record &record) {
+        this->mergeRecord(record, "peer");
+        this->publishPending();
+    };
+    return options;
+}
+
+std::vector<std::string> SiteControl::catalogWatchers() const
+{
+    constexpr std::size_t kMaxNames = 4; // One of them may be this instance.
+    return rendezvousFirst(this->catalogRecord->table, instancesWithStoreAccess(this->gossip),
+                           kMaxNames);
+}
+
+bool SiteControl::isCatalogConfirmed() const
+{
+    const std::optional<TimePoint> confirmedAt = this->catalogConfirmer.confirmedAt();
+    return confirmedAt && this->clock.now() - *confirmedAt <= kMaxCatalogAge;
+}
+
+bool SiteControl::confirmCatalog()
+{
+    const FiberEvent done;
+    this->runtime.post([this, done] {
+        (void)this->catalogConfirmer.confirm(this->clock.now() - kMaxCatalogAge);
+        done.set();
+    });
+    (void)done.waitFor(kConfirmTimeout);
+    return this->isCatalogConfirmed();
 }
 
 SiteKnowledge SiteControl::knowledge() const
 {
     const TimePoint now = this->clock.now();
-    const TimePoint confirmedAt = this->catalogConfirmedAt.load();
     SiteKnowledge knowledge;
-    if (confirmedAt != TimePoint::min()) {
-        knowledge.sinceConfirmed = now - confirmedAt;
+    if (const std::optional<TimePoint> confirmedAt = this->catalogConfirmer.confirmedAt()) {
+        knowledge.sinceConfirmed = now - *confirmedAt;
     }
     knowledge.sinceHeard = now - this->peerHeardAt.load();
     knowledge.running = now - this->startedAt;
@@ -472,12 +516,17 @@
     this->runtime.spawn([this] {
         const Duration pause = this->publishedAt + kPublishInterval - this->clock.now();
         this->runtime.sleepFor(std::max(Duration::zero(), pause));
-        if (this->publishScheduled) {
-            this->publish();
-        }
+        this->publishPending();
     });
 }
 
+void SiteControl::publishPending()
+{
+    if (this->publishScheduled) {
+        this->publish();
+    }
+}
+
 void SiteControl::publish()
 {
     this->publishScheduled = false;
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -2,6 +2,7 @@
 // publishes the resulting state as a SiteView.
 #pragma once
 
+#include "CatalogConfirmer.h"
 #include "PromptPartGossip.h"
 #include "RecordGossip.h"
 #include "RolloutController.h"
@@ -66,6 +67,12 @@
     /// The latest published view; never null.
     std::shared_ptr<const SiteView> view() const { return this->published.get(); }
     SiteKnowledge knowledge() const;
+    /// Whether the store has confirmed lately that the catalog is the newest one. A view that is
+    /// read afterwards has that catalog.
+    bool isCatalogConfirmed() const;
+    /// The same after trying to get a confirmation. Blocks the calling fiber, at most for some
+    /// tenths of a second.
+    bool confirmCatalog();
     /// Identifies this process among all processes of the instance.
     const std::string &incarnation() const { return this->ownIncarnation; }
     /// Counts an answer for the roll-out of its service.
@@ -109,6 +116,12 @@
     void announceIfSelected(const std::vector<std::string> &candidates);
     void announceSelf();
     void onStoreAccess(bool isAvailable);
+    CatalogConfirmerOptions confirmerOptions();
+    /// Names of some instances that watch the table of the catalog. The same on all instances, so
+    /// that one call to the store answers most of them.
+    std::vector<std::string> catalogWatchers() const;
+    /// Publishes a view now if one is about to be published.
+    void publishPending();
     /// Selects the tables that this instance watches itself.
     void selectWatchedTables(const std::vector<std::string> &candidates);
     /// Once hasSettled(), calls selectWatchedTables() and announceIfSelected() with the instances
@@ -149,11 +162,9 @@
     PromptPartGossip promptParts;
     RolloutController rollouts;
     TableWatcher tableWatcher;
+    CatalogConfirmer catalogConfirmer;
     std::shared_ptr<const Catalog> catalog;
-    std::optional<RecordKey> catalogRecord; ///< Key of the record with the catalog.
-    /// Every configuration that the store acknowledged before this is in the published view;
-    /// TimePoint::min() until the store has confirmed that.
-    std::atomic<TimePoint> catalogConfirmedAt{TimePoint::min()};
+    std::optional<RecordKey> catalogRecord;     ///< Key of the record with the catalog.
     std::atomic<TimePoint> peerHeardAt{};       ///< As of the latest tick.
     std::uint64_t publishedGossipDigest = 0;    ///< Gossip digest of the published view.
     std::uint64_t publishedRolloutRevision = 0; ///< Roll-out revision of the published view.
--- a/kernel/src/site/TableWatcher.cpp
+++ b/kernel/src/site/TableWatcher.cpp
@@ -148,7 +148,7 @@
         if (!this->known.empty() && this->consecutiveFailures > 0) {
             // The store may refuse one table only, so each retry asks for the next one.
             const auto next = static_cast<Duration::rep>(this->retries++ % this->known.size());
-            this->checkTable(std::next(this->known.begin(), next)->first);
+            (void)this->checkTable(std::next(this->known.begin(), next)->first);
         }
         lastRetryTook = this->clock.now() - retriedAt;
     }
@@ -162,12 +162,36 @@
         const WatchShare &share = this->shares[table];
         if (this->known.contains(table) && this->watching.at(table).isSet()
             && turn % share.watchers == share.rank) {
-            this->checkTable(table);
+            (void)this->checkTable(table);
         }
     }
 }
 
-void TableWatcher::checkTable(const std::string &table)
+void TableWatcher::refresh(const std::string &table)
+{
+    if (!this->known.contains(table)) {
+        return; // The table is being read for the first time, or anew.
+    }
+    const absl::Status checked = this->checkTable(table);
+    if (absl::IsOutOfRange(checked)) {
+        this->readTable(table);
+    }
+}
+
+void TableWatcher::readTable(const std::string &table)
+{
+    this->calls.add();
+    const TimePoint beganAt = this->clock.now();
+    const auto page = this->store.readTable(table);
+    if (!page.ok()) {
+        this->onFailure(table, page.status(), beganAt);
+        return;
+    }
+    this->onAnswer();
+    this->applySnapshot(table, *page, beganAt);
+}
+
+absl::Status TableWatcher::checkTable(const std::string &table)
 {
     this->calls.add();
     const TimePoint beganAt = this->clock.now();
@@ -190,13 +214,15 @@
     } else {
         this->onFailure(table, page.status(), beganAt);
     }
+    return page.status();
 }
 
 void TableWatcher::applySnapshot(const std::string &table, const RecordPage &page,
                                  TimePoint beganAt)
 {
     this->listener.onSnapshot(table, page);
-    this->known[table] = page.version;
+    RecordVersion &known = this->known[table];
+    known = std::max(known, page.version);
     this->listener.onCurrent(table, beganAt);
 }
 
--- a/kernel/src/site/TableWatcher.h
+++ b/kernel/src/site/TableWatcher.h
@@ -61,6 +61,11 @@
     void start();
     /// Makes the fibers end with the calls and pauses under way.
     void stop();
+    /// Asks the store for the changes of `table`, or for the whole table if the store no longer has
+    /// them. Blocks the calling fiber.
+    void refresh(const std::string &table);
+    /// Whether this instance watches `table` itself; see setWatchers().
+    bool isWatching(const std::string &table) const { return this->watching.at(table).isSet(); }
     /// Whether all fibers have ended.
     bool hasStopped() const { return this->activeFibers == 0; }
     /// Sets how many instances watch `table` and the rank of this one. It watches the table itself
@@ -88,7 +93,9 @@
     void checkTables();
     void checkTablesInTurn();
     /// Fetches the changes of a table without waiting.
-    void checkTable(const std::string &table);
+    absl::Status checkTable(const std::string &table);
+    /// Reads the whole table.
+    void readTable(const std::string &table);
     absl::StatusOr<RecordPage> fetch(const std::string &table);
     /// Applies `page`, the answer to a call for the changes after the known version that began at
     /// `beganAt`.
