CatalogConfirmer: publish a catalog before it counts as confirmed

A newer catalog that gossip had brought some milliseconds before was confirmed by a peer without being published, so that a request in these milliseconds would have been rejected with 401 or 404 by the older view, now taken for confirmed. Every confirmation publishes first.

Evidence: test_kernel "a catalog is published before it counts as confirmed": published version 1 of 2 before, 2 after.

--- a/kernel/src/site/CatalogConfirmer.cpp
+++ b/kernel/src/site/CatalogConfirmer.cpp
@@ -56,6 +56,7 @@
 
 void CatalogConfirmer::onConfirmed(TimePoint asOf)
 {
+    this->options.publish();
     this->confirmed.store(std::max(asOf, this->confirmed.load()));
 }
 
--- a/kernel/src/site/CatalogConfirmer.h
+++ b/kernel/src/site/CatalogConfirmer.h
@@ -32,8 +32,11 @@
     std::function<void()> askStore;
     /// Names of the instances that watch the table for all.
     std::function<std::vector<std::string>()> watchers;
-    /// Applies a newer record from a peer and publishes it.
+    /// Applies a newer record from a peer.
     std::function<void(const Record &)> apply;
+    /// Publishes what has been applied, from whomever. Called before each confirmation takes
+    /// effect: a request must not be judged by an older catalog than the confirmed one.
+    std::function<void()> publish;
 };
 
 /// A confirmation is the time at which the store had nothing newer than what is published here. It
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -270,7 +270,6 @@
 void SiteControl::onTableCurrent(const std::string &table, TimePoint asOf)
 {
     if (this->catalogRecord && this->catalogRecord->table == table) {
-        this->publishPending(); // The traffic thread must not take an older view for confirmed.
         this->catalogConfirmer.onConfirmed(asOf);
     }
 }
@@ -285,10 +284,8 @@
     options.hasStore = [this] { return this->tableWatcher.isAvailable(); };
     options.askStore = [this] { this->tableWatcher.refresh(this->catalogRecord->table); };
     options.watchers = [this] { return this->catalogWatchers(); };
-    options.apply = [this](const Record &record) {
-        this->mergeRecord(record, "peer");
-        this->publishPending();
-    };
+    options.apply = [this](const Record &record) { this->mergeRecord(record, "peer"); };
+    options.publish = [this] { this->publishPending(); };
     return options;
 }
 
--- a/kernel/tests/CatalogConfirmerTest.cpp
+++ b/kernel/tests/CatalogConfirmerTest.cpp
@@ -80,6 +80,7 @@
         options.askStore = [this] { this->askStore(); };
         options.watchers = [this] { return this->watchers; };
         options.apply = [this](const Record &record) { this->replica.merge(record); };
+        options.publish = [this] { this->published = this->version(); };
         return options;
     }
     void askStore()
@@ -100,6 +101,7 @@
     bool isWatching = false;
     bool hasStore = true;
     std::vector<std::string> watchers;
+    RecordVersion published = 1;
     SystemClock clock;
     NoLog output;
     EventLog log{this->output, this->clock, "i"};
@@ -151,6 +153,20 @@
     });
 }
 
+// Guards against a request that is rejected by an older catalog than the one that is confirmed: the
+// newer one is known by gossip and not published yet.
+TEST_CASE("a catalog is published before it counts as confirmed", "[confirm]")
+{
+    inFiber([](FiberRuntime &runtime) {
+        Pair pair(runtime);
+        pair.store.newest = {catalogKey(), "second", 2, false};
+        pair.other.replica.merge(pair.store.newest);
+        CHECK(pair.other.published == 1);
+        CHECK(pair.other.confirm());
+        CHECK(pair.other.published == 2);
+    });
+}
+
 TEST_CASE("fibers that ask at the same time share one call, and its answer for a while",
           "[confirm]")
 {
