CatalogConfirmer: all instances ask the same one first

On a small site every instance watches the configuration, so each asked the store itself before a rejection.

--- a/kernel/src/site/CatalogConfirmer.cpp
+++ b/kernel/src/site/CatalogConfirmer.cpp
@@ -1,5 +1,5 @@
-// On a large site few instances watch the table. The others ask one of these first, so that the
-// number of calls to the store does not grow with the number of instances.
+// All instances ask the same one first, which asks the store for all, so that the number of calls
+// to the store does not grow with the number of instances.
 #include "CatalogConfirmer.h"
 
 #include <absl/strings/numbers.h>
@@ -93,16 +93,16 @@
     if (!this->options.record()) {
         return sources;
     }
-    std::vector<std::string> names = this->options.watchers();
-    std::erase(names, this->gossip.self().name);
+    const std::vector<std::string> names = this->options.watchers();
+    const std::string &self = this->gossip.self().name;
     for (const std::string &name : names) {
         const std::optional<Member> member = this->gossip.member(name);
-        if (member && sources.size() < kMaxPeers) {
+        if (member && name != self && sources.size() < kMaxPeers) {
             sources.emplace_back([this, member] { this->askPeer(*member); });
         }
     }
     if (this->options.hasStore()) {
-        const bool isFirst = this->options.isWatching() || sources.empty();
+        const bool isFirst = sources.empty() || names.front() == self;
         sources.insert(sources.begin() + (isFirst ? 0 : 1), this->options.askStore);
     }
     return sources;
--- a/kernel/src/site/CatalogConfirmer.h
+++ b/kernel/src/site/CatalogConfirmer.h
@@ -24,13 +24,11 @@
 {
     /// The record with the catalog; empty until one is known.
     std::function<std::optional<RecordKey>()> record;
-    /// Whether this instance watches the table of that record itself.
-    std::function<bool()> isWatching;
     /// Whether the store answers this instance.
     std::function<bool()> hasStore;
     /// Asks the store for changes of that table. Blocks the calling fiber; calls onConfirmed().
     std::function<void()> askStore;
-    /// Names of the instances that watch the table for all.
+    /// Names of instances that watch the table for all, in an order that all instances share.
     std::function<std::vector<std::string>()> watchers;
     /// Applies a newer record from a peer.
     std::function<void(const Record &)> apply;
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -278,9 +278,6 @@
 {
     CatalogConfirmerOptions options;
     options.record = [this] { return this->catalogRecord; };
-    options.isWatching = [this] {
-        return this->tableWatcher.isWatching(this->catalogRecord->table);
-    };
     options.hasStore = [this] { return this->tableWatcher.isAvailable(); };
     options.askStore = [this] { this->tableWatcher.refresh(this->catalogRecord->table); };
     options.watchers = [this] { return this->catalogWatchers(); };
--- a/kernel/src/site/TableWatcher.h
+++ b/kernel/src/site/TableWatcher.h
@@ -64,8 +64,6 @@
     /// Asks the store for the changes of `table`, or for the whole table if the store no longer has
     /// them. Blocks the calling fiber.
     void refresh(const std::string &table);
-    /// Whether this instance watches `table` itself; see setWatchers().
-    bool isWatching(const std::string &table) const { return this->watching.at(table).isSet(); }
     /// Whether all fibers have ended.
     bool hasStopped() const { return this->activeFibers == 0; }
     /// Sets how many instances watch `table` and the rank of this one. It watches the table itself
--- a/kernel/tests/CatalogConfirmerTest.cpp
+++ b/kernel/tests/CatalogConfirmerTest.cpp
@@ -75,7 +75,6 @@
     {
         CatalogConfirmerOptions options;
         options.record = [] { return std::optional(catalogKey()); };
-        options.isWatching = [this] { return this->isWatching; };
         options.hasStore = [this] { return this->hasStore; };
         options.askStore = [this] { this->askStore(); };
         options.watchers = [this] { return this->watchers; };
@@ -98,7 +97,6 @@
 
     FiberRuntime &runtime;
     FakeStore &store;
-    bool isWatching = false;
     bool hasStore = true;
     std::vector<std::string> watchers;
     RecordVersion published = 1;
@@ -122,7 +120,7 @@
         , watching(runtime, this->store, "watching", {"127.0.0.1", this->ports.at(0)})
         , other(runtime, this->store, "other", {"127.0.0.1", this->ports.at(1)})
     {
-        this->watching.isWatching = true;
+        this->watching.watchers = {"watching"};
         this->other.gossip.tell(memberRumor(this->watching.gossip.self(), 2));
         this->other.watchers = {"watching"};
     }
