Test of malformed platform answers: no call uses a connection that the server closes

Its server closes each connection after its answer without saying so, and the next call could use the kept connection before the end had arrived; such a call is an error by design and says nothing of the answer. The answers now say that the connection closes; the checks are the same.

--- a/libs/platform/tests/HttpPlatformTest.cpp
+++ b/libs/platform/tests/HttpPlatformTest.cpp
@@ -14,7 +14,9 @@
 
 std::string answerOf(const std::string &body)
 {
-    return absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+    // The server closes after each answer; the next call must not use the connection.
+    return absl::StrCat("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: ", body.size(),
+                        "\r\n\r\n", body);
 }
 
 /// Runs `test` with a platform that answers each call with `bytes`.
