RequestForwarder: try more upstreams before a request that was never sent gives up

Change: sixteen connection attempts instead of four; nothing has been sent by then, so neither the retry budget nor a promise is touched.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -23,7 +23,8 @@
 
 /// A connection within the region takes a few milliseconds; an unreachable upstream never responds.
 constexpr Duration kConnectTimeout = milliseconds(250);
-constexpr int kMaxConnectAttempts = 4; // Per request.
+/// Per request. Reaches an upstream that is left when most of a service have crashed at once.
+constexpr int kMaxConnectAttempts = 16;
 /// Limit for a buffered response: a few dozen of this size at once fit the memory of a small
 /// instance.
 constexpr std::size_t kMaxBufferedAnswerBytes = 4 * 1024 * 1024;
