TableWatcher: a check keeps its own copy of the table's name

Cause: while calls to the store fail, checkTables() passed the key of an entry of `known` to checkTable() by reference. The fiber waits there for the store; when meanwhile the watch of the same table is told that the history is gone, the entry is erased, and the check goes on with a freed string: look-ups, a call of the store, a line of the log. CatalogConfirmer's call to the store had a reference into a member that is assigned during the call; it has a copy as well.

The new test fails before the change (the fake store finds its argument overwritten when the slow call ends) and passes after it. Found while reading for the process that ends with SIGSEGV; whether it is that one is not shown.

--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -279,7 +279,10 @@
     CatalogConfirmerOptions options;
     options.record = [this] { return this->catalogRecord; };
     options.hasStore = [this] { return this->tableWatcher.isAvailable(); };
-    options.askStore = [this] { this->tableWatcher.refresh(this->catalogRecord->table); };
+    options.askStore = [this] {
+        const std::string table = this->catalogRecord->table; // May be set anew during the call.
+        this->tableWatcher.refresh(table);
+    };
     options.watchers = [this] { return this->catalogWatchers(); };
     options.apply = [this](const Record &record) { this->mergeRecord(record, "peer"); };
     options.publish = [this] { this->publishPending(); };
--- a/kernel/src/site/TableWatcher.cpp
+++ b/kernel/src/site/TableWatcher.cpp
@@ -148,7 +148,9 @@
         if (!this->known.empty() && this->consecutiveFailures > 0) {
             // The store may refuse one table only, so each retry asks for the next one.
             const auto next = static_cast<Duration::rep>(this->retries++ % this->known.size());
-            (void)this->checkTable(std::next(this->known.begin(), next)->first);
+            // A copy: the entry may be erased during the call.
+            const std::string table = std::next(this->known.begin(), next)->first;
+            (void)this->checkTable(table);
         }
         lastRetryTook = this->clock.now() - retriedAt;
     }
--- a/kernel/src/site/TableWatcher.h
+++ b/kernel/src/site/TableWatcher.h
@@ -62,7 +62,7 @@
     /// Makes the fibers end with the calls and pauses under way.
     void stop();
     /// Asks the store for the changes of `table`, or for the whole table if the store no longer has
-    /// them. Blocks the calling fiber.
+    /// them. Blocks the calling fiber, for the time of which `table` must stay as it is.
     void refresh(const std::string &table);
     /// Whether all fibers have ended.
     bool hasStopped() const { return this->activeFibers == 0; }
@@ -90,7 +90,8 @@
     /// One fiber: checks the tables whose turn it is, or any while the store is unavailable.
     void checkTables();
     void checkTablesInTurn();
-    /// Fetches the changes of a table without waiting.
+    /// Fetches the changes of a table without waiting. Blocks the calling fiber: `table` must not
+    /// belong to a member that changes meanwhile.
     absl::Status checkTable(const std::string &table);
     /// Reads the whole table.
     void readTable(const std::string &table);
--- a/kernel/tests/TableWatcherTest.cpp
+++ b/kernel/tests/TableWatcherTest.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 constexpr char kFirst[] = "first";
-constexpr char kSecond[] = "second";
+constexpr char kSecond[] = "second, with a name too long to stand in the string itself";
 constexpr Duration kCallTimeout = milliseconds(40);
 constexpr Duration kPoll = milliseconds(2);
 /// Far above the intervals of the tests and far below that of a watch.
@@ -57,6 +57,10 @@
         }
         const bool isLost =
             this->mood == Mood::Loses || (this->losesWatches && wait > Duration::zero());
+        if (wait == Duration::zero() && name == this->slowTable) {
+            this->awaitSlowAnswer();
+            this->isArgumentIntact = this->isArgumentIntact && table == name;
+        }
         if (this->mood == Mood::Refuses || name == this->refusedTable) {
             return absl::UnavailableError("busy");
         }
@@ -69,6 +73,9 @@
             if (wait > Duration::zero() && began < this->endedAt) {
                 return absl::UnavailableError("end of stream");
             }
+            if (wait > Duration::zero() && name == this->goneTable) {
+                return absl::OutOfRangeError("history gone");
+            }
             if (wait > Duration::zero() && this->cancelled.contains(name)) {
                 return absl::CancelledError("cancelled");
             }
@@ -102,11 +109,24 @@
 
     Mood mood = Mood::Answers;
     bool losesWatches = false;    ///< Those that begin now, and only these.
+    std::string slowTable;        ///< Calls for it without waiting are not answered meanwhile.
+    int slowCalls = 0;            ///< Of these, under way.
+    bool isArgumentIntact = true; ///< The caller's argument outlived each of these.
+    std::string goneTable;        ///< Watches of it under way are told that the history is gone.
     std::string refusedTable;     ///< Calls for it are refused; a watch from before goes on.
     RecordVersion oldestKept = 0; ///< Watches from before are told that the history is gone.
     int calls = 0;
 
 private:
+    void awaitSlowAnswer()
+    {
+        ++this->slowCalls;
+        while (!this->slowTable.empty()) {
+            this->runtime.sleepFor(kPoll);
+        }
+        --this->slowCalls;
+    }
+
     FiberRuntime &runtime;
     TimePoint endedAt{}; ///< Watches from before have ended.
     RecordVersion version = 1;
@@ -328,3 +348,27 @@
         },
         options);
 }
+
+// Guards against a check that goes on with the name of a table that was freed while its call to the
+// store was under way: a process that ends by itself.
+TEST_CASE("a check under way survives that the history of its table is gone", "[watcher]")
+{
+    withWatcher([](Watched &watched) {
+        watched.store.refusedTable = kFirst;
+        watched.store.slowTable = kSecond;
+        watched.store.change(kFirst); // Ends its watch, so that the retries begin.
+        const TimePoint until = watched.clock.now() + kSoon;
+        while (watched.store.slowCalls == 0 && watched.clock.now() < until) {
+            watched.sleep(kPoll);
+        }
+        REQUIRE(watched.store.slowCalls == 1);
+        watched.store.goneTable = kSecond;
+        watched.sleep(milliseconds(50));
+        watched.store.goneTable.clear();
+        watched.store.slowTable.clear();
+        watched.sleep(milliseconds(50));
+        CHECK(watched.store.isArgumentIntact);
+        watched.store.refusedTable.clear();
+        CHECK(watched.learns(kSecond, watched.store.change(kSecond)));
+    });
+}
