Tests: clients that keep to no limit, against real processes at both doors

Clients outside our control ended a process in a trial of the users. These tests start one instance on loopback with a small crowd each: trailers without end, chunked bodies that stop one byte short, bodies far over the limit, headers a byte at a time on all descriptors, callers that read nothing, the same at the health, directory, metrics and peer ports. They check that the process lives, that its memory stays under 120 MB and its descriptors under 380 of 400, and that an ordinary request is answered afterwards; nothing that depends on the machine's speed. Each runs alone.

--- a/tests/failure/Cluster.cpp
+++ b/tests/failure/Cluster.cpp
@@ -3,6 +3,8 @@
 
 #include <runtime/FiberEvent.h>
 
+#include <Crowd.h>
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
@@ -225,6 +227,9 @@
     text.pop_back();
     const std::string timing =
         R"("entriesTtlMs": 1000, "abandonAfterMs": 2000, "firstByteMs": 5000, "streamGapMs": 3000, "poolLeaseMs": 2000, "longestOrderMs": 500)";
+    if (!this->options.limits.empty()) {
+        text += ",\"limits\": {" + this->options.limits + "}";
+    }
     return text + ",\"timing\": {" + timing
         + (this->options.timing.empty() ? "" : ", " + this->options.timing) + "}}";
 }
@@ -250,6 +255,8 @@
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
+    const bool isEntry = process.arguments.front() == PRODUCT;
+    const ChildDescriptorLimit descriptors(isEntry ? this->options.descriptors : 0);
     REQUIRE(posix_spawn(&process.id, arguments[0], &actions, nullptr, arguments.data(), environ)
             == 0);
     posix_spawn_file_actions_destroy(&actions);
@@ -309,6 +316,11 @@
     return this->processes.at(name).address;
 }
 
+Endpoint Cluster::peerPort(int number) const
+{
+    return this->at(kPeerPorts + number);
+}
+
 std::vector<Endpoint> Cluster::entryAddresses() const
 {
     std::vector<Endpoint> addresses;
--- a/tests/failure/Cluster.h
+++ b/tests/failure/Cluster.h
@@ -28,6 +28,8 @@
     std::string rules;   ///< Applied at the start; empty: the default file.
     std::string timing;  ///< More keys of the settings' "timing".
     int engines = 3;     ///< The last one holds `large`, the others `small`.
+    std::string limits;  ///< Keys of the settings' "limits".
+    int descriptors = 0; ///< Limit of an entry; 0: that of the test.
 };
 
 /// Names: platform, engine1.., stock1, stock2, desk1, entry1... Ends its processes when destroyed.
@@ -47,6 +49,10 @@
     /// Starts a process that has ended, as it was.
     void restart(const std::string &name);
     bool isRunning(const std::string &name);
+    /// Process of `name`; 0 when it has ended.
+    int processOf(const std::string &name) const { return this->processes.at(name).id; }
+    /// Where an entry hears its peers.
+    Endpoint peerPort(int number) const;
     void cutPlatform(int entry, bool cut);
     /// Cuts every instance off from every other one.
     void cutPeers(bool cut);
