libs/retries: SlidingWindowRetryBudget moves there from libs/decision

A library of its own for the budget of second sends, which retries, cascades and hedges will share. Files move with their test; nothing else changes.

--- a/kernel/src/relay/RelayContext.h
+++ b/kernel/src/relay/RelayContext.h
@@ -8,8 +8,8 @@
 #include <decision/PromptQuarantine.h>
 #include <decision/RequestQuarantine.h>
 #include <decision/RolloutInitialQuota.h>
-#include <decision/SlidingWindowRetryBudget.h>
 #include <kernel/Site.h>
+#include <retries/SlidingWindowRetryBudget.h>
 #include <runtime/HttpClient.h>
 #include <telemetry/EventLog.h>
 #include <telemetry/Metrics.h>
--- a/libs/decision/src/SlidingWindowRetryBudget.cpp
+++ b/libs/retries/src/SlidingWindowRetryBudget.cpp
@@ -1,5 +1,5 @@
 // The window consists of ten buckets, which are ignored once they lie outside it.
-#include <decision/SlidingWindowRetryBudget.h>
+#include <retries/SlidingWindowRetryBudget.h>
 
 #include <algorithm>
 
