Fetch large records as deltas, in parts, from few instances at a time

Cause: each instance asked twelve peers, 100 ms apart, for the whole record, dropped answers after 400 ms and began anew with the next gossip; confirmations of the catalog sent it whole as well. With 1,700 routes (399 KB) and 91 instances on 10 Mbit/s that is more than the links have, and it never ends.

Change: RecordFetch and RecordSource (libs/replica) decide, on a clock and without a network. One fetch a record and instance, of a delta against a version that both have or of the compressed whole, in parts of 32 KB that go on at another holder after a loss; late answers count; holders serve three askers at a time within a token bucket, say "busy" and refer to those they have served. A wrong result is rejected by its hash and the whole asked for. The store is the last source. Confirmations name the version, larger values are fetched.

--- a/kernel/src/control/PeerMessenger.h
+++ b/kernel/src/control/PeerMessenger.h
@@ -21,7 +21,8 @@
     StoreReceiptCopies = 'c',   ///< Store copies of these receipts.
     ReleaseReceiptCopies = 'x', ///< The table has all batches up to this one.
     FetchRules = 'r',           ///< Returns the rules file in force.
-    FetchRecord = 'o',          ///< Returns a record of the platform's store.
+    FetchRecord = 'o',          ///< Returns a whole record of the platform's store.
+    FetchRecordPart = 'p',      ///< Returns a part of an encoding of a record.
     ConfirmCatalog = 'k', ///< Returns how lately the store has confirmed the catalog's record.
     RolloutCounts = 'v',  ///< Counts for a collector of a roll-out, or notice that it is held.
 };
--- a/kernel/src/site/CatalogConfirmer.cpp
+++ b/kernel/src/site/CatalogConfirmer.cpp
@@ -25,9 +25,17 @@
 /// After a failed attempt. Requests that come meanwhile are rejected at once.
 constexpr Duration kRetryDelay = milliseconds(250);
 
-/// Fields of a reply, one a line: age of the confirmation in milliseconds, version, and the value
-/// if the asker's version is older. An empty reply is no confirmation.
+/// A larger value is fetched, so that a watcher doesn't send it to the whole fleet.
+constexpr std::size_t kMaxInlineBytes = 4096;
+constexpr std::size_t kLargeRecordBytes = 64 * 1024;
+/// A value that comes later still confirms what the watcher has told.
+constexpr Duration kFetchTimeout = seconds(2);
+
+/// Fields of a request, one a line: the asker's version, and kCanFetch if it can fetch the value.
+/// Fields of a reply: age of the confirmation in milliseconds, version, and the value if the
+/// asker's version is older, unless the asker has to fetch it. An empty reply is no confirmation.
 constexpr char kFieldSeparator = '\n';
+constexpr char kCanFetch[] = "f";
 
 } // namespace
 
@@ -103,7 +111,12 @@
     }
     if (this->options.hasStore()) {
         const bool isFirst = sources.empty() || names.front() == self;
-        sources.insert(sources.begin() + (isFirst ? 0 : 1), this->options.askStore);
+        const Record *known = this->replica.find(*this->options.record());
+        // The store sends a changed record whole, so a large one is read from it last.
+        const bool isLarge = known && known->value.size() > kLargeRecordBytes;
+        const std::size_t index = isFirst ? 0 : isLarge ? sources.size() : 1;
+        sources.insert(sources.begin() + static_cast<std::ptrdiff_t>(index),
+                       this->options.askStore);
     }
     return sources;
 }
@@ -121,7 +134,8 @@
         return this->isConfirmed(beganAt - kMaxSharedAge);
     };
     bool isDone = false;
-    for (std::size_t index = 0; index < sources.size() && !isDone; ++index) {
+    // A version that is being fetched comes from the other sources no sooner.
+    for (std::size_t index = 0; index < sources.size() && !isDone && this->awaited == 0; ++index) {
         ++*pending;
         this->runtime.spawn([source = sources[index], pending] {
             source();
@@ -150,7 +164,7 @@
     const RecordVersion version = known ? known->version : 0;
     const TimePoint askedAt = this->clock.now();
     const auto reply = this->peers.call(member.peers, PeerMessageKind::ConfirmCatalog,
-                                        absl::StrCat(version), kPeerTimeout);
+                                        absl::StrCat(version, "\n", kCanFetch), kPeerTimeout);
     if (!reply.ok()) {
         return;
     }
@@ -162,18 +176,41 @@
         || !absl::SimpleAtoi(fields[1], &record.version)) {
         return;
     }
-    if (record.version > version) {
+    if (record.version > version && !fields[2].empty()) {
         record.value = fields[2];
         this->options.apply(record);
     }
-    this->onConfirmed(askedAt - milliseconds(ageMs));
+    if (this->awaitVersion(*key, record.version, member.name)) {
+        this->onConfirmed(askedAt - milliseconds(ageMs));
+    }
+}
+
+bool CatalogConfirmer::awaitVersion(const RecordKey &key, RecordVersion version,
+                                    const std::string &holder)
+{
+    const auto isKnown = [&] {
+        const Record *known = this->replica.find(key);
+        return known && known->version >= version;
+    };
+    if (!isKnown()) {
+        this->options.fetch(key, version, holder);
+    }
+    ++this->awaited;
+    const TimePoint until = this->clock.now() + kFetchTimeout;
+    while (!isKnown() && this->clock.now() < until) {
+        this->runtime.sleepFor(kPollInterval);
+    }
+    --this->awaited;
+    return isKnown();
 }
 
 std::string CatalogConfirmer::handlePeer(const std::string &body)
 {
     RecordVersion asked = 0;
+    const std::vector<std::string> fields = absl::StrSplit(body, kFieldSeparator);
+    const bool canFetch = fields.size() > 1 && fields[1] == kCanFetch;
     const std::optional<RecordKey> key = this->options.record();
-    if (!absl::SimpleAtoi(body, &asked) || !key || !this->options.hasStore()) {
+    if (!absl::SimpleAtoi(fields[0], &asked) || !key || !this->options.hasStore()) {
         return {};
     }
     const TimePoint notBefore = this->clock.now() - kMaxSharedAge;
@@ -190,9 +227,10 @@
         return {};
     }
     const auto age = this->clock.now() - this->confirmed.load() + milliseconds(1); // Rounded up.
-    const bool isNewer = known->version > asked;
+    const bool isSent =
+        known->version > asked && (!canFetch || known->value.size() <= kMaxInlineBytes);
     return absl::StrCat(wholeMillis(age), "\n", known->version, "\n",
-                        isNewer ? known->value : std::string());
+                        isSent ? known->value : std::string());
 }
 
 } // namespace basilnotch
--- a/kernel/src/site/CatalogConfirmer.h
+++ b/kernel/src/site/CatalogConfirmer.h
@@ -32,6 +32,9 @@
     std::function<std::vector<std::string>()> watchers;
     /// Applies a newer record from a peer.
     std::function<void(const Record &)> apply;
+    /// Starts to fetch a version of the record that is too large for an answer; `holder` has it.
+    std::function<void(const RecordKey &key, RecordVersion version, const std::string &holder)>
+        fetch;
     /// Publishes what has been applied, from whomever. Called before each confirmation takes
     /// effect: a request must not be judged by an older catalog than the confirmed one.
     std::function<void()> publish;
@@ -65,6 +68,8 @@
     void attempt(const std::vector<Source> &sources);
     bool isConfirmed(TimePoint notBefore) const;
     void askPeer(const Member &member);
+    /// Waits until the replica has `version`, which `holder` has; false when it does not come.
+    bool awaitVersion(const RecordKey &key, RecordVersion version, const std::string &holder);
     /// Answers a peer from the store alone.
     std::string handlePeer(const std::string &body);
 
@@ -80,6 +85,7 @@
     std::atomic<TimePoint> confirmed{TimePoint::min()};
     bool attempting = false;
     bool askingStore = false; ///< For a peer.
+    int awaited = 0;          ///< Versions that are being fetched.
     TimePoint retryAt{};      ///< Until then, confirm() makes no attempt.
 };
 
--- a/kernel/src/site/RecordGossip.h
+++ b/kernel/src/site/RecordGossip.h
@@ -1,12 +1,14 @@
 // Distributes the store's records between instances, so that an instance which the store refuses
 // still learns of changes. Gossip carries small records whole and only the version of large ones;
-// an instance fetches a large record from a peer.
+// an instance fetches a large record from its peers, see docs/design/configuration-spread.md.
 #pragma once
 
 #include "control/PeerMessenger.h"
 
 #include <base/Clock.h>
 #include <membership/Gossip.h>
+#include <replica/RecordFetch.h>
+#include <replica/RecordSource.h>
 #include <replica/Replica.h>
 #include <runtime/FiberEvent.h>
 #include <telemetry/EventLog.h>
@@ -14,9 +16,11 @@
 
 #include <deque>
 #include <functional>
+#include <map>
+#include <memory>
 #include <optional>
 #include <random>
-#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -41,29 +45,43 @@
     /// Handles the records in gossip that are newer than those in the replica.
     void processRumors();
 
+    /// Fetches `version` or a later one from the peers, unless it is known or a fetch of the record
+    /// is under way, which then goes on to that version. `holder`, if not empty, has it.
+    void fetch(const RecordKey &key, RecordVersion version, const std::string &holder = {});
+    /// Sets how a record is read from the store, for a fetch that makes no progress. It blocks the
+    /// calling fiber.
+    void onStalled(std::function<void(const RecordKey &key)> read)
+    {
+        this->readStore = std::move(read);
+    }
+
 private:
-    /// A fetch under way, shared by the fibers of its calls.
+    /// A fetch under way, shared by the fibers of its calls; they may outlive it.
     struct Fetch
     {
-        RecordKey key;
-        RecordVersion version = 0; ///< Least version that is wanted.
+        explicit Fetch(RecordFetch fetch)
+            : fetch(std::move(fetch))
+        { }
+
+        RecordFetch fetch;
         TimePoint beganAt{};
-        int asked = 0;       ///< Peers.
-        int pending = 0;     ///< Of these: calls under way.
-        int unreachable = 0; ///< Of these: no answer in time.
-        FiberEvent answered; ///< Set at the end of each call.
+        FiberEvent changed; ///< Set at the end of each call.
     };
 
-    void fetch(const RecordKey &key, RecordVersion version);
+    /// One fiber for each fetch, until the record is known.
+    void run(const std::shared_ptr<Fetch> &fetch);
+    /// Asks one peer; a fiber waits for its answer.
+    void ask(const std::shared_ptr<Fetch> &fetch, RecordAsk ask);
+    void askStore(const std::shared_ptr<Fetch> &fetch);
     /// The peers to ask, in this order.
-    std::vector<Member> fetchCandidates(const RecordKey &key);
-    /// The replica has the record, from whomever.
-    bool isKnown(const Fetch &fetch) const;
-    /// Asks one peer and waits for its answer.
-    void ask(Fetch &fetch, const Member &member);
+    std::vector<std::string> fetchCandidates(const RecordKey &key);
+    /// Logs if `peer` has completed an encoding that is wrong; `before` is the count before it.
+    void logRejected(const Fetch &fetch, int before, const std::string &peer);
     /// Logs and counts the end of a fetch.
     void onFetchEnded(const Fetch &fetch);
-    std::string handleFetch(const std::string &name) const;
+    std::string handleFetch(const std::string &text);
+    /// Returns a whole record, as instances of earlier releases ask for it.
+    std::string handleWholeFetch(const std::string &name) const;
 
     FiberRuntime &runtime;
     Gossip &gossip;
@@ -72,10 +90,16 @@
     const RecordHandler onRecord;
     const Clock &clock;
     EventLog &log;
+    RecordSource source;
     Counter &fetches;
     Counter &failedFetches;
+    Counter &fetchedBytes;
+    Counter &rejectedFetches;
+    Counter &servedBytes;
+    Counter &refusedBusy;
     std::mt19937_64 random;
-    std::set<RecordKey> fetching;
+    std::function<void(const RecordKey &key)> readStore;
+    std::map<RecordKey, std::shared_ptr<Fetch>> fetching;
     std::deque<std::pair<RecordKey, TimePoint>> recent; ///< Announced lately, oldest first.
     std::uint64_t processedDigest = 0; ///< Digest of the gossip that was processed last.
 };
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -134,6 +134,11 @@
     this->peerHeardAt.store(this->startedAt);
     this->addSeeds();
     this->peers.onRumors([this] { this->onRumors(); });
+    this->recordGossip.onStalled([this](const RecordKey &key) {
+        if (this->tableWatcher.isAvailable()) {
+            this->tableWatcher.refresh(key.table);
+        }
+    });
 }
 
 SiteControl::~SiteControl()
@@ -282,6 +287,9 @@
     options.askStore = [this] { this->tableWatcher.refresh(this->catalogRecord->table); };
     options.watchers = [this] { return this->catalogWatchers(); };
     options.apply = [this](const Record &record) { this->mergeRecord(record, "peer"); };
+    options.fetch = [this](const RecordKey &key, RecordVersion version, const std::string &holder) {
+        this->recordGossip.fetch(key, version, holder);
+    };
     options.publish = [this] { this->publishPending(); };
     return options;
 }
--- a/libs/replica/include/replica/Replica.h
+++ b/libs/replica/include/replica/Replica.h
@@ -3,12 +3,24 @@
 
 #include <replica/RecordStore.h>
 
+#include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
 namespace basilnotch {
 
+/// A version of a record, and the hash of its value: instances that agree on both have the same.
+struct RecordState
+{
+    RecordVersion version = 0;
+    std::uint64_t hash = 0;
+    friend bool operator==(const RecordState &, const RecordState &) = default;
+};
+
 /// A join-semilattice over records: of two versions of a record the higher one counts. Deleted
 /// records are remembered, so that an older version from a peer cannot bring them back.
 /// Control thread only.
@@ -22,9 +34,30 @@
     std::vector<Record> mergeTable(std::string_view table, const RecordPage &page);
     /// The record, also when it is deleted; null when it was never heard of.
     const Record *find(const RecordKey &key) const;
+    /// The versions of a large record that valueAt() can rebuild, newest first. Empty for a small
+    /// or a deleted record.
+    std::vector<RecordState> states(const RecordKey &key) const;
+    /// The value that the record had in `state`; empty when it isn't one of states().
+    std::optional<std::string> valueAt(const RecordKey &key, const RecordState &state) const;
 
 private:
-    std::map<RecordKey, Record> records;
+    /// A version that has been replaced.
+    struct Former
+    {
+        RecordState state;
+        std::string delta; ///< From the next newer value to this one.
+    };
+    struct Entry
+    {
+        Record record;
+        std::uint64_t hash = 0;    ///< Of the value of a large record.
+        std::deque<Former> former; ///< Newest first.
+    };
+
+    static bool isLarge(const Record &record);
+    static void replace(Entry &entry, const Record &next);
+
+    std::map<RecordKey, Entry> records;
 };
 
 } // namespace basilnotch
