Failure domains that operators take out of service

Change: such a record becomes a DomainUpdate. Upstreams of the domain stay in UpstreamList but are not ready, so the queue, canaries, repeats, resumed streams, second models, prompt sources and connections being opened all leave them alone. Queued requests move on with the next view; with nothing left they get 503 at once with a Retry-After. An instance that starts takes no requests until the store or an informed peer has told it.

--- a/kernel/include/kernel/Site.h
+++ b/kernel/include/kernel/Site.h
@@ -51,13 +51,19 @@
 {
     RolloutOrder order;
 };
+/// Operators have taken a failure domain out of service, or have taken that back.
+struct DomainUpdate
+{
+    std::string failureDomain;
+    bool isOutOfService = false;
+};
 /// A record that has no effect on this process.
 struct IgnoredRecord
 {
 };
 /// The decoded content of one record of the store.
-using SiteUpdate =
-    std::variant<IgnoredRecord, CatalogUpdate, UpstreamUpdate, UpstreamRemoval, RolloutUpdate>;
+using SiteUpdate = std::variant<IgnoredRecord, CatalogUpdate, UpstreamUpdate, UpstreamRemoval,
+                                RolloutUpdate, DomainUpdate>;
 
 /// Decodes and encodes the records whose format the platform defines. Thread safe.
 class RecordCodec
--- a/kernel/src/control/PeerMessenger.h
+++ b/kernel/src/control/PeerMessenger.h
@@ -23,6 +23,7 @@
     FetchRules = 'r',           ///< Returns the rules file in force.
     FetchRecord = 'o',          ///< Returns a record of the platform's store.
     ConfirmCatalog = 'k', ///< Returns how lately the store has confirmed the catalog's record.
+    FetchDomains = 'd',   ///< Returns the records of failure domains that are out of service.
     RolloutCounts = 'v',  ///< Counts for a collector of a roll-out, or notice that it is held.
 };
 
--- a/kernel/src/relay/AdmittedRequest.cpp
+++ b/kernel/src/relay/AdmittedRequest.cpp
@@ -57,7 +57,7 @@
     request.http = &http;
     request.arrivedAt = arrivedAt;
     request.view = context.control.view();
-    if (!request.view->catalog) {
+    if (!request.view->hasConfiguration()) {
         return AdmissionError{status::kUnavailable, "no configuration yet", kRetryAfterStartup};
     }
     const Catalog &catalog = *request.view->catalog;
--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -202,7 +202,8 @@
         }
         AcquireResult acquired = this->acquire();
         if (!acquired.lease) {
-            if (acquired.error == AcquireError::TooBusy) {
+            if (acquired.error != AcquireError::Cancelled
+                && acquired.retryAfter > Duration::zero()) {
                 this->retryAfter = acquired.retryAfter;
             }
             if (this->isWithdrawn) {
@@ -286,8 +287,7 @@
 
 bool RequestForwarder::isInUse(const UpstreamRecord &upstream) const
 {
-    const UpstreamRef current = this->context.control.view()->upstreams->find(upstream.id);
-    return current && current->state == UpstreamState::Ready;
+    return this->context.control.view()->upstreams->isReady(upstream.id);
 }
 
 RequestForwarder::AttemptOutcome RequestForwarder::attempt(UpstreamLease &lease)
@@ -319,8 +319,9 @@
     options.freshConnection = !this->request.route->mayRunAgain();
     options.correlation =
         Correlation{this->context.requestCodec.correlationHeader(), this->request.caller.requestId};
-    options.isStillWanted = [this, &upstream] {
-        return !this->isWithdrawn && !this->exchange.callerGone() && this->isInUse(upstream);
+    options.isStillWanted = [this, &upstream, &lease] {
+        return !this->isWithdrawn && !this->exchange.callerGone() && this->isInUse(upstream)
+            && lease.trySend();
     };
     ++this->connectAttempts;
     this->currentAttempt = &attempt;
--- a/kernel/src/relay/SiteHandlers.cpp
+++ b/kernel/src/relay/SiteHandlers.cpp
@@ -97,7 +97,7 @@
     const TimePoint until = this->context.clock.now() + kStartupTimeout;
     while (this->context.clock.now() < until) {
         const std::shared_ptr<const SiteView> view = this->context.control.view();
-        if (view->catalog && view->upstreams->size() > 0) {
+        if (view->hasConfiguration() && view->upstreams->size() > 0) {
             return;
         }
         this->context.runtime.sleepFor(kStartupPollInterval);
--- a/kernel/src/relay/UpstreamScheduler.cpp
+++ b/kernel/src/relay/UpstreamScheduler.cpp
@@ -13,6 +13,9 @@
 
 /// Shared prompts with fewer tokens are not worth announcing to other instances.
 constexpr int kMinAnnouncedTokens = 1000;
+/// Operators take failure domains back in their own time; callers that return more often only add
+/// load.
+constexpr Duration kRetryAfterOutOfService = seconds(2);
 
 std::uint32_t sharedPromptId(const UpstreamRequirements &requirements)
 {
@@ -132,6 +135,13 @@
     return this->picker.pick(query);
 }
 
+AcquireResult UpstreamScheduler::noUpstream(const std::string &service) const
+{
+    const bool isOutOfService = this->list->hasOutOfService(service);
+    return {nullptr, AcquireError::NoUpstream,
+            isOutOfService ? kRetryAfterOutOfService : Duration::zero()};
+}
+
 QueueWaitEstimator &UpstreamScheduler::waitEstimator(const std::string &service)
 {
     return this->waitEstimators.try_emplace(service, QueueWaitOptions(), this->clock).first->second;
@@ -157,7 +167,7 @@
             {}};
     }
     if (picked.problem == PickProblem::NoUpstream) {
-        return {nullptr, AcquireError::NoUpstream, {}};
+        return this->noUpstream(requirements.service);
     }
     if (picked.problem == PickProblem::AllPaused && picked.pauseLeft >= maxWait) {
         return {nullptr, AcquireError::TooBusy, picked.pauseLeft};
@@ -168,7 +178,7 @@
         || maxWait <= Duration::zero()) {
         return {nullptr, AcquireError::TooBusy, estimator.retryAfter(waitersAhead)};
     }
-    Waiter waiter{requirements, cancelled, {}};
+    Waiter waiter{requirements, cancelled, {}, false};
     auto position = this->waiters.begin();
     while (position != this->waiters.end()
            && (*position)->requirements.priority <= requirements.priority) {
@@ -183,6 +193,10 @@
                 AcquireError::None,
                 {}};
     }
+    if (waiter.isRejected) {
+        cancelled.reset();
+        return this->noUpstream(requirements.service);
+    }
     this->waiters.erase(entry);
     return {nullptr, cancelled.isSet() ? AcquireError::Cancelled : AcquireError::TooBusy,
             this->waitEstimator(requirements.service)
@@ -201,6 +215,13 @@
             ++position;
             continue;
         }
+        if (this->list->ready(requirements.service).empty()
+            && this->list->hasOutOfService(requirements.service)) {
+            waiter.isRejected = true;
+            position = this->waiters.erase(position);
+            waiter.ready.set();
+            continue;
+        }
         Pick picked = this->pick(requirements, slot.versions);
         if (picked.upstream) {
             waiter.assigned = std::move(picked);
--- a/kernel/src/relay/UpstreamScheduler.h
+++ b/kernel/src/relay/UpstreamScheduler.h
@@ -74,6 +74,9 @@
     const UpstreamRef &fetchFrom() const { return this->pick.fetchFrom; }
     /// Expected engine time until the prompt has been prefilled, queued prompts included.
     Duration expectedPrefillTime() const { return this->pick.ahead + this->pick.work; }
+    /// To be asked once, right before the request is written: false when it must not be, because
+    /// the upstream warms up and has got its share.
+    bool trySend();
     void onLoad(const LoadSample &sample);
     /// The upstream's answer says that it is about to exit.
     void onLeaving();
@@ -83,7 +86,7 @@
     void onFirstByte();
     /// Records the result for the upstream's health statistics. Not called when the caller
     /// disconnected.
-    void setResult(AttemptResult result) { this->result = result; }
+    void setResult(AttemptResult result);
 
 private:
     /// Removes the prompt from the engine's prefill backlog; idempotent.
@@ -93,6 +96,7 @@
     const Pick pick;
     const std::uint32_t prompt;
     bool isPrefilled = false;
+    bool isSent = false; ///< trySend() has allowed it.
     std::optional<AttemptResult> result;
 };
 
@@ -107,7 +111,7 @@
 {
     std::unique_ptr<UpstreamLease> lease; ///< Null on error.
     AcquireError error = AcquireError::None;
-    Duration retryAfter{}; ///< With TooBusy: when a slot may be free.
+    Duration retryAfter{}; ///< When a slot may be free; zero when that is unknown.
 };
 
 /// Events that other instances have to learn of. Called on the traffic thread.
@@ -147,6 +151,7 @@
         const UpstreamRequirements &requirements;
         FiberEvent ready; ///< Set when a slot has been assigned or the request cancelled.
         Pick assigned;
+        bool isRejected = false; ///< The service has no upstream left that may be sent to.
     };
 
     /// What decides whether an upstream with a free slot may serve a request.
@@ -162,6 +167,8 @@
     /// Chooses an upstream and reserves the slot.
     Pick pick(const UpstreamRequirements &requirements, const VersionFilter &versions);
     Pick pickFrom(std::span<const UpstreamRef> upstreams, const UpstreamRequirements &requirements);
+    /// The result for a service without upstreams that may be sent to.
+    AcquireResult noUpstream(const std::string &service) const;
     QueueWaitEstimator &waitEstimator(const std::string &service);
     /// Number of waiting requests that are served before `requirements`.
     std::size_t countWaitersAhead(const UpstreamRequirements &requirements) const;
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -116,6 +116,8 @@
           this->runtime, this->gossip, this->peers, this->replica,
           [this](const Record &record) { return this->mergeRecord(record, "peer"); }, clock, log,
           metrics)
+    , domains(this->runtime, this->gossip, this->peers, this->replica, this->domainOptions(), clock,
+              log, metrics)
     , promptParts(this->gossip, clock, kCrashRetention)
     , rollouts(this->runtime, *this->store, adapter.recordCodec(), this->gossip, this->peers, clock,
                log)
@@ -254,6 +256,7 @@
 void SiteControl::onTableSnapshot(const std::string &table, const RecordPage &page)
 {
     this->applyChanges(this->replica.mergeTable(table, page), "store");
+    this->domains.onTableRead(table);
 }
 
 void SiteControl::onChanges(const RecordPage &page)
@@ -286,6 +289,18 @@
     return options;
 }
 
+DomainRecordsOptions SiteControl::domainOptions()
+{
+    DomainRecordsOptions options;
+    for (const std::string &table : this->adapter.recordCodec().watchedTables()) {
+        options.tables.insert(table);
+    }
+    options.longestWait = this->settings.bounds.outOfService;
+    options.apply = [this](const Record &record) { this->mergeRecord(record, "peer"); };
+    options.onInformed = [this] { this->publishSoon(); };
+    return options;
+}
+
 std::vector<std::string> SiteControl::catalogWatchers() const
 {
     constexpr std::size_t kMaxNames = 4; // One of them may be this instance.
@@ -415,6 +430,51 @@
         }
     } else if (const auto *rollout = std::get_if<RolloutUpdate>(&*update)) {
         this->rollouts.onOrder(rollout->order, record.version);
+    } else if (const auto *domain = std::get_if<DomainUpdate>(&*update)) {
+        this->onDomainUpdate(*domain, record, from);
+    }
+}
+
+void SiteControl::logClamped(const Record &record, const std::vector<std::string> &fields)
+{
+    for (const std::string &field : fields) {
+        this->log.write(LogKind::State, "figure out of range",
+                        {{"record", record.key.name},
+                         {"version", static_cast<std::int64_t>(record.version)},
+                         {"field", field}});
+    }
+}
+
+void SiteControl::onDomainUpdate(const DomainUpdate &update, const Record &record,
+                                 std::string_view from)
+{
+    if (!this->domains.onRecord(record, update.failureDomain, update.isOutOfService)) {
+        return;
+    }
+    std::int64_t upstreams = 0;
+    for (const UpstreamRef &upstream : this->presence.list()) {
+        upstreams += upstream->failureDomain == update.failureDomain ? 1 : 0;
+    }
+    this->log.write(LogKind::State,
+                    update.isOutOfService ? "failure domain out of service"
+                                          : "failure domain back in service",
+                    {{"failureDomain", update.failureDomain},
+                     {"upstreams", upstreams},
+                     {"record", static_cast<std::int64_t>(record.version)},
+                     {"from", from}});
+}
+
+void SiteControl::logServiceState(const UpstreamList &upstreams)
+{
+    const std::size_t outOfService = upstreams.outOfServiceCount();
+    this->metrics.counter("upstreams_out_of_service").set(static_cast<std::int64_t>(outOfService));
+    const bool isAllOut = outOfService > 0 && outOfService == upstreams.size();
+    if (isAllOut != std::exchange(this->isAllOutOfService, isAllOut)) {
+        this->log.write(
+            LogKind::State,
+            isAllOut ? "all upstreams out of service" : "upstreams in service again",
+            {{"upstreams", static_cast<std::int64_t>(upstreams.size())},
+             {"failureDomains", static_cast<std::int64_t>(this->domains.outOfService().size())}});
     }
 }
 
@@ -478,6 +538,9 @@
     this->peerHeardAt.store(this->clock.now() - this->gossip.sinceHeard());
     this->dropExpiredRumors();
     const std::shared_ptr<const SiteView> current = this->published.get();
+    if (!current->knowsDomains) {
+        this->domains.tick();
+    }
     this->rollouts.tick(this->tableWatcher.storeTime(), *current->upstreams);
     tellStoreAccess(this->gossip, this->tableWatcher.isAvailable());
     this->updateAssignments();
@@ -528,7 +591,10 @@
     this->metrics.counter("views_published_total").add();
     auto next = std::make_shared<SiteView>();
     next->catalog = this->catalog;
-    next->upstreams = std::make_shared<const UpstreamList>(this->presence.list());
+    next->knowsDomains = this->domains.isInformed();
+    next->upstreams =
+        std::make_shared<const UpstreamList>(this->presence.list(), this->domains.outOfService());
+    this->logServiceState(*next->upstreams);
     next->rollouts = this->rollouts.rollouts(this->tableWatcher.storeTime());
     next->stop = this->stop;
     next->bounds = this->settings.bounds;
--- a/kernel/src/site/SiteControl.h
+++ b/kernel/src/site/SiteControl.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "CatalogConfirmer.h"
+#include "DomainRecords.h"
 #include "PromptPartGossip.h"
 #include "RecordGossip.h"
 #include "RolloutController.h"
@@ -117,6 +118,12 @@
     void announceSelf();
     void onStoreAccess(bool isAvailable);
     CatalogConfirmerOptions confirmerOptions();
+    DomainRecordsOptions domainOptions();
+    /// Logs fields of a record whose figures were out of range.
+    void logClamped(const Record &record, const std::vector<std::string> &fields);
+    void onDomainUpdate(const DomainUpdate &update, const Record &record, std::string_view from);
+    /// Logs when operators have taken the last upstream out of service, or the first one back.
+    void logServiceState(const UpstreamList &upstreams);
     /// Names of some instances that watch the table of the catalog. The same on all instances, so
     /// that one call to the store answers most of them.
     std::vector<std::string> catalogWatchers() const;
@@ -159,6 +166,7 @@
     Gossip gossip;
     PeerMessenger peers;
     RecordGossip recordGossip;
+    DomainRecords domains;
     PromptPartGossip promptParts;
     RolloutController rollouts;
     TableWatcher tableWatcher;
@@ -170,6 +178,7 @@
     std::uint64_t publishedRolloutRevision = 0; ///< Roll-out revision of the published view.
     std::map<std::string, MemberState> loggedMemberStates;
     std::map<std::string, TimePoint> knownCrashes; ///< By rumor name; when first seen.
+    bool isAllOutOfService = false;                ///< As logged; see logServiceState().
     bool announced = false;            ///< The address is in the store or is being written.
     bool gossipScheduled = false;      ///< A round of gossip is about to start.
     bool publishScheduled = false;     ///< A view is about to be published.
--- a/kernel/src/site/SiteView.h
+++ b/kernel/src/site/SiteView.h
@@ -61,7 +61,11 @@
     bool isLastResort = false;
     SiteBounds bounds;
 
-    bool acceptsRequests() const { return this->catalog && !this->stop; }
+    /// Whether this instance has learned since its start which failure domains are out of service.
+    bool knowsDomains = false;
+
+    bool hasConfiguration() const { return this->catalog && this->knowsDomains; }
+    bool acceptsRequests() const { return this->hasConfiguration() && !this->stop; }
 };
 
 } // namespace basilnotch
--- a/kernel/tests/UpstreamSchedulerTest.cpp
+++ b/kernel/tests/UpstreamSchedulerTest.cpp
@@ -163,3 +163,48 @@
         }
     });
 }
+
+TEST_CASE("requests that wait for upstreams whose failure domain goes out of service move on")
+{
+    inFiber([](FiberRuntime &runtime) {
+        SchedulerFixture fixture;
+        const auto in = [](const std::string &id, const std::string &domain) {
+            UpstreamRecord record = *upstream(id, "v1");
+            record.failureDomain = domain;
+            return std::make_shared<const UpstreamRecord>(std::move(record));
+        };
+        const auto setList = [&](const std::vector<UpstreamRef> &list, const DomainNames &out) {
+            fixture.scheduler.setUpstreams(std::make_shared<const UpstreamList>(list, out), 1);
+        };
+        const UpstreamRef north = in("north", "a");
+        const UpstreamRef south = in("south", "b");
+        setList({north}, {});
+        FiberEvent cancelled;
+        const AcquireResult first =
+            fixture.scheduler.acquire(fixture.requirements(), seconds(1), cancelled);
+        REQUIRE(first.lease);
+        std::vector<AcquireResult> results;
+        for (int number = 0; number < 2; ++number) {
+            runtime.spawn([&] {
+                const UpstreamRequirements requirements = fixture.requirements();
+                results.push_back(
+                    fixture.scheduler.acquire(requirements, seconds(5), FiberEvent()));
+            });
+        }
+        runtime.sleepFor(milliseconds(5));
+        REQUIRE(results.empty());
+        setList({north, south}, {"a"});
+        runtime.sleepFor(milliseconds(5));
+        REQUIRE(results.size() == 1);
+        REQUIRE(results[0].lease);
+        CHECK(results[0].lease->upstream().id == "south");
+        // Nothing is left, and nobody knows for how long: the other one is told at once.
+        setList({north, south}, {"a", "b"});
+        runtime.sleepFor(milliseconds(5));
+        REQUIRE(results.size() == 2);
+        CHECK(results[1].error == AcquireError::NoUpstream);
+        CHECK(results[1].retryAfter >= seconds(1));
+        CHECK(fixture.scheduler.waiterCount() == 0);
+        results.clear();
+    });
+}
--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -67,7 +67,7 @@
     None,
     NoUpstream, ///< No candidate is left for this request.
     AllFull,    ///< All usable candidates are full.
-    AllPaused,  ///< All usable candidates have asked for a pause; see Pick::pauseLeft.
+    AllPaused,  ///< All usable candidates have asked for a pause or warm up; see Pick::pauseLeft.
 };
 
 struct Pick
--- a/libs/settings/include/settings/SiteSettings.h
+++ b/libs/settings/include/settings/SiteSettings.h
@@ -22,7 +22,13 @@
     Duration rollback = seconds(5); ///< A bad version takes no work this long after it shows.
     double retryRatio = 0.5; ///< Repeated sends to a service for each first one, system-wide.
     Duration retryWindow = seconds(10); ///< That the ratio is counted over.
-    double retrySlack = 20;     ///< Repeated sends in a window beyond the ratio, system-wide.
+    double retrySlack = 20; ///< Repeated sends in a window beyond the ratio, system-wide.
+    /// A failure domain that operators take out of service gets nothing after this.
+    Duration outOfService = seconds(5);
+    /// A cold upstream gets at most its rate times `coldOverrun` plus `coldSlack` requests in any
+    /// second, from all instances.
+    double coldOverrun = 1.5;
+    double coldSlack = 5;
     double exposureShare = 0.1; ///< Of a service's requests, to a version that turns out bad.
     double exposureSlack = 10;  ///< Requests beyond that share.
 };
--- a/libs/settings/src/SiteSettings.cpp
+++ b/libs/settings/src/SiteSettings.cpp
@@ -34,9 +34,12 @@
     bounds.directoryTtlMax = secondsAt(reader, "directoryTtlMaxSeconds", bounds.directoryTtlMax);
     bounds.sessionGap = secondsAt(reader, "sessionGapSeconds", bounds.sessionGap);
     bounds.rollback = millisAt(reader, "rollbackMs", bounds.rollback);
+    bounds.outOfService = millisAt(reader, "outOfServiceMs", bounds.outOfService);
     bounds.retryRatio = reader.number("retryRatio", 0, 100, bounds.retryRatio);
     bounds.retryWindow = secondsAt(reader, "retryWindowSeconds", bounds.retryWindow);
     bounds.retrySlack = reader.number("retrySlack", 0, kMostSlack, bounds.retrySlack);
+    bounds.coldOverrun = reader.number("coldOverrun", 0, 1000, bounds.coldOverrun);
+    bounds.coldSlack = reader.number("coldSlack", 0, kMostSlack, bounds.coldSlack);
     bounds.exposureShare = reader.number("exposureShare", 0, 1, bounds.exposureShare);
     bounds.exposureSlack = reader.number("exposureSlack", 0, kMostSlack, bounds.exposureSlack);
     reader.finish();
--- a/libs/upstreams/src/UpstreamList.cpp
+++ b/libs/upstreams/src/UpstreamList.cpp
@@ -5,13 +5,16 @@
 
 namespace basilnotch {
 
-UpstreamList::UpstreamList(std::vector<UpstreamRef> upstreams)
+UpstreamList::UpstreamList(std::vector<UpstreamRef> upstreams, const DomainNames &outOfService)
 {
     for (UpstreamRef &upstream : upstreams) {
         this->byId.emplace(upstream->id, std::move(upstream));
     }
     for (const auto &[id, upstream] : this->byId) {
-        if (upstream->state == UpstreamState::Ready) {
+        if (outOfService.contains(upstream->failureDomain)) {
+            this->outOfServiceIds.insert(id);
+            this->outOfServiceServices.insert(upstream->service);
+        } else if (upstream->state == UpstreamState::Ready) {
             this->byService[upstream->service].push_back(upstream);
         }
     }
@@ -33,6 +36,25 @@
     return static_cast<std::size_t>(count);
 }
 
+bool UpstreamList::isReady(std::string_view id) const
+{
+    const UpstreamRef upstream = this->find(id);
+    return upstream && upstream->state == UpstreamState::Ready
+        && !this->outOfServiceIds.contains(id);
+}
+
+void UpstreamList::forEach(const std::function<void(const UpstreamRecord &)> &visit) const
+{
+    for (const auto &[id, upstream] : this->byId) {
+        visit(*upstream);
+    }
+}
+
+bool UpstreamList::hasOutOfService(std::string_view service) const
+{
+    return this->outOfServiceServices.contains(service);
+}
+
 UpstreamRef UpstreamList::find(std::string_view id) const
 {
     const auto found = this->byId.find(id);
--- a/libs/upstreams/tests/PresenceTest.cpp
+++ b/libs/upstreams/tests/PresenceTest.cpp
@@ -100,3 +100,25 @@
     CHECK(list.find("one") != nullptr);
     CHECK(list.ready("unknown").empty());
 }
+
+TEST_CASE("upstreams in a failure domain that is out of service are known but not ready")
+{
+    std::vector<UpstreamRef> upstreams;
+    for (const auto &[id, domain] :
+         std::map<std::string, std::string>{{"one", "a"}, {"two", "b"}, {"three", "b"}}) {
+        UpstreamRecord made = record(id);
+        made.failureDomain = domain;
+        upstreams.push_back(std::make_shared<const UpstreamRecord>(std::move(made)));
+    }
+    const UpstreamList list(upstreams, {"b", "no such domain"});
+    REQUIRE(list.ready("orders").size() == 1);
+    CHECK(list.ready("orders").front()->id == "one");
+    CHECK(list.isReady("one"));
+    CHECK_FALSE(list.isReady("two"));
+    CHECK_FALSE(list.isReady("nobody"));
+    CHECK(list.find("two"));
+    CHECK(list.hasOutOfService("orders"));
+    CHECK(list.outOfServiceCount() == 2);
+    CHECK(UpstreamList(upstreams, {"a", "b"}).ready("orders").empty());
+    CHECK(UpstreamList(upstreams).ready("orders").size() == 3);
+}
