Limit requests to cold upstreams over all instances

Change: new library warmup. Half of the bound is divided among few instances for each upstream, chosen by rendezvous over all instances that have not left; no message passes. The picker asks before a choice, the request takes its right when it is written. Cold counts from the registration, for a restart that does not say, after a failure domain's return and after a refused connection. If nothing else is left, the wait for the next right is told. Out-of-range figures are clamped with a log line.

Tests: 91 limiters under a flood at 20 cold upstreams, with a partition into halves that know different members, with a third dead and then left; restarts, returns of a domain, requests assigned before the upstream turned cold; picker, codec, settings.

--- a/kernel/include/kernel/Site.h
+++ b/kernel/include/kernel/Site.h
@@ -35,11 +35,13 @@
 struct CatalogUpdate
 {
     std::shared_ptr<const Catalog> catalog;
+    std::vector<std::string> clampedFields; ///< Fields with figures out of range, for the log.
 };
 /// A registration of an upstream, new or changed.
 struct UpstreamUpdate
 {
     UpstreamRecord upstream;
+    std::vector<std::string> clampedFields; ///< Fields with figures out of range, for the log.
 };
 /// The registration of an upstream has been deleted.
 struct UpstreamRemoval
--- a/kernel/src/relay/SiteServer.cpp
+++ b/kernel/src/relay/SiteServer.cpp
@@ -79,6 +79,24 @@
     return options;
 }
 
+WarmupOptions warmupOptions(const SiteSettings &settings)
+{
+    WarmupOptions options;
+    options.instance = settings.instance;
+    options.overrun = settings.bounds.coldOverrun;
+    options.slack = settings.bounds.coldSlack;
+    return options;
+}
+
+WarmupRates warmupRates(const Catalog &catalog)
+{
+    WarmupRates rates;
+    for (const Service &service : catalog.services()) {
+        rates[service.name] = {service.coldPerSecond, service.coldStart};
+    }
+    return rates;
+}
+
 } // namespace
 
 struct SiteServer::Impl
@@ -89,8 +107,10 @@
         , engineEstimates{{{}, static_cast<std::uint32_t>(hash64(control.incarnation())), clock},
                           {{}, clock}}
         , gossip(this->runtime, settings.instance, settings.peers, this->engineEstimates, metrics)
+        , warmup(warmupOptions(settings), clock)
         , scheduler(
-              pickerOptions(settings), this->engineEstimates, clock, hash64(settings.instance, 2),
+              pickerOptions(settings), this->engineEstimates, this->warmup, clock,
+              hash64(settings.instance, 2),
               {[this] { this->gossip.onLocalChange(); },
                [this](const PromptCacheUpdate &update) { this->gossip.onPromptPrefilled(update); }})
         , quarantine({kCrashesToQuarantine, kCrashRetention}, clock)
@@ -137,6 +157,11 @@
     void applyView()
     {
         const std::shared_ptr<const SiteView> view = this->context.control.view();
+        if (view->catalog && view->catalog != this->warmupCatalog) {
+            this->warmupCatalog = view->catalog;
+            this->warmup.setRates(warmupRates(*view->catalog));
+        }
+        this->warmup.setMembers(view->members);
         this->scheduler.setUpstreams(view->upstreams, view->liveInstances);
         this->gossip.setDirectory(view->directory);
         if (!view->catalog) {
@@ -170,8 +195,12 @@
     {
         LatencyHistogram &loopDelay = this->context.metrics.histogram("event_loop_delay_seconds");
         Counter &picks = this->context.metrics.counter("upstream_picks_total");
+        Counter &cold = this->context.metrics.counter("upstreams_cold");
+        Counter &refusedSends = this->context.metrics.counter("cold_sends_refused_total");
         while (true) {
             picks.set(this->scheduler.pickCount());
+            cold.set(static_cast<std::int64_t>(this->warmup.coldCount()));
+            refusedSends.set(this->warmup.refusedSends());
             this->withdrawQuarantined();
             this->scheduler.dispatchWaiters();
             this->gossip.refresh();
@@ -197,6 +226,7 @@
     HttpClient client;
     EngineEstimates engineEstimates;
     BacklogGossip gossip;
+    WarmupLimiter warmup;
     UpstreamScheduler scheduler;
     RequestQuarantine quarantine;
     PromptQuarantine promptQuarantine;
@@ -206,7 +236,8 @@
     std::map<std::string, SlidingWindowRetryBudget> retryBudgets;
     RolloutInitialQuota initialQuota;
     std::set<RequestForwarder *> activePrompts;
-    std::optional<TimePoint> latestQuarantine; ///< Requests under way have been checked for it.
+    std::shared_ptr<const Catalog> warmupCatalog; ///< That the rates of `warmup` are from.
+    std::optional<TimePoint> latestQuarantine;    ///< Requests under way have been checked for it.
     RelayContext context;
     RelayHandler relayHandler;
     DirectoryHandler directory;
--- a/kernel/src/relay/UpstreamScheduler.cpp
+++ b/kernel/src/relay/UpstreamScheduler.cpp
@@ -35,11 +35,28 @@
 UpstreamLease::~UpstreamLease()
 {
     this->markPrefilled();
+    if (!this->isSent) {
+        this->scheduler.warmup.onReleased(this->upstream());
+    }
     this->scheduler.picker.onEnded(this->upstream(), this->result);
     this->scheduler.waitEstimator(this->upstream().service).onSlotFreed();
     this->scheduler.dispatchWaiters();
 }
 
+bool UpstreamLease::trySend()
+{
+    this->isSent = this->scheduler.warmup.trySend(this->upstream());
+    return this->isSent;
+}
+
+void UpstreamLease::setResult(AttemptResult next)
+{
+    this->result = next;
+    if (next == AttemptResult::ConnectFailed) {
+        this->scheduler.warmup.onConnectFailed(this->upstream());
+    }
+}
+
 void UpstreamLease::onLoad(const LoadSample &sample)
 {
     this->scheduler.picker.onLoad(this->upstream(), sample);
@@ -74,11 +91,12 @@
 }
 
 UpstreamScheduler::UpstreamScheduler(PickerOptions options, EngineEstimates &engineEstimates,
-                                     const Clock &clock, std::uint64_t seed,
+                                     WarmupLimiter &warmup, const Clock &clock, std::uint64_t seed,
                                      UpstreamSchedulerListener listener)
     : clock(clock)
     , engineEstimates(engineEstimates)
-    , picker(std::move(options), engineEstimates, clock, seed)
+    , warmup(warmup)
+    , picker(std::move(options), engineEstimates, clock, seed, &warmup)
     , listener(std::move(listener))
 { }
 
@@ -87,6 +105,7 @@
     this->list = std::move(next);
     this->liveInstances = instances;
     this->picker.retain(*this->list);
+    this->warmup.setUpstreams(*this->list);
     this->dispatchWaiters();
 }
 
--- a/kernel/src/relay/UpstreamScheduler.h
+++ b/kernel/src/relay/UpstreamScheduler.h
@@ -127,9 +127,10 @@
 class UpstreamScheduler
 {
 public:
-    /// `engineEstimates` must outlive the scheduler.
-    UpstreamScheduler(PickerOptions options, EngineEstimates &engineEstimates, const Clock &clock,
-                      std::uint64_t seed, UpstreamSchedulerListener listener);
+    /// `engineEstimates` and `warmup` must outlive the scheduler.
+    UpstreamScheduler(PickerOptions options, EngineEstimates &engineEstimates,
+                      WarmupLimiter &warmup, const Clock &clock, std::uint64_t seed,
+                      UpstreamSchedulerListener listener);
 
     void setUpstreams(std::shared_ptr<const UpstreamList> list, int liveInstances);
     /// Blocks the calling fiber for at most `maxWait`; setting `cancelled` ends the wait early.
@@ -175,6 +176,7 @@
 
     const Clock &clock;
     EngineEstimates &engineEstimates;
+    WarmupLimiter &warmup;
     UpstreamPicker picker;
     const UpstreamSchedulerListener listener;
     std::shared_ptr<const UpstreamList> list = std::make_shared<UpstreamList>();
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -55,6 +55,7 @@
 /// The others exit as soon as their requests are done, so that they restart sooner.
 constexpr std::size_t kLastResortDivisor = 3;
 constexpr char kLastResort[] = "last resort";    // Key of the rendezvous hash.
+constexpr std::int64_t kUnstatedColdTime = -1;   // In the log.
 constexpr std::size_t kMaxKnownCrashes = 10'000; // Remembered, so that each is reported once.
 
 Settings makePeerSettings(const SiteSettings &site)
@@ -407,19 +408,25 @@
         return;
     }
     if (auto *configured = std::get_if<CatalogUpdate>(&*update)) {
+        this->logClamped(record, configured->clampedFields);
         this->catalog = std::move(configured->catalog);
         this->catalogRecord = record.key;
         this->log.write(
             LogKind::State, "configuration in force",
             {{"configuration", this->catalog->version()}, {"record", version}, {"from", from}});
     } else if (auto *registered = std::get_if<UpstreamUpdate>(&*update)) {
-        this->log.write(LogKind::State, "upstream",
-                        {{"upstream", registered->upstream.id},
-                         {"service", registered->upstream.service},
-                         {"version", registered->upstream.softwareVersion},
-                         {"ready", registered->upstream.state == UpstreamState::Ready},
-                         {"record", version},
-                         {"from", from}});
+        this->log.write(
+            LogKind::State, "upstream",
+            {{"upstream", registered->upstream.id},
+             {"service", registered->upstream.service},
+             {"version", registered->upstream.softwareVersion},
+             {"ready", registered->upstream.state == UpstreamState::Ready},
+             {"coldMs",
+              registered->upstream.coldLeft ? wholeMillis(*registered->upstream.coldLeft)
+                                            : kUnstatedColdTime},
+             {"record", version},
+             {"from", from}});
+        this->logClamped(record, registered->clampedFields);
         this->presence.onRegistered(std::move(registered->upstream));
     } else if (const auto *removed = std::get_if<UpstreamRemoval>(&*update)) {
         this->log.write(LogKind::State, "upstream gone",
@@ -623,6 +630,9 @@
                              {"state", stateName(member.state)},
                              {"incarnation", member.incarnation}});
         }
+        if (member.state != MemberState::Leaving) {
+            next.members.push_back(member.name);
+        }
         DirectoryEntry entry{member.name, member.callers, member.peers, member.failureDomain,
                              member.capacity};
         if (member.state == MemberState::Alive) {
--- a/kernel/src/site/SiteView.h
+++ b/kernel/src/site/SiteView.h
@@ -54,6 +54,8 @@
     std::map<std::string, ActiveRollout, std::less<>> rollouts; ///< By service.
     /// Instances that accept requests; if there are none, those that are leaving.
     std::vector<DirectoryEntry> directory;
+    /// Names of all instances that have not left, also of those that nobody reaches.
+    std::vector<std::string> members;
     int liveInstances = 1;             ///< Includes this instance.
     std::optional<ShutdownTimes> stop; ///< Set once this process has been told to stop.
     /// All instances are stopping, and this one is among those that accept requests until they
--- a/libs/catalog/include/catalog/Catalog.h
+++ b/libs/catalog/include/catalog/Catalog.h
@@ -69,6 +69,9 @@
     std::string name;
     std::string healthPath;
     int maxConnections = 0; ///< That one upstream takes from all instances together; 0: no bound.
+    /// Requests a second that an upstream stands from all instances while it warms up; 0: any.
+    double coldPerSecond = 0;
+    Duration coldStart{}; ///< How long it warms up after a start.
     std::optional<EngineTraits> engine;
 };
 
--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -9,6 +9,7 @@
 #include <decision/UpstreamHealth.h>
 #include <decision/UpstreamNotices.h>
 #include <upstreams/UpstreamList.h>
+#include <warmup/WarmupLimiter.h>
 
 #include <cstdint>
 #include <map>
@@ -92,9 +93,10 @@
 class UpstreamPicker
 {
 public:
-    /// `engineEstimates` must outlive the picker.
+    /// `engineEstimates` and `warmup` must outlive the picker. Without `warmup`, upstreams get
+    /// requests at any rate.
     UpstreamPicker(PickerOptions options, EngineEstimates &engineEstimates, const Clock &clock,
-                   std::uint64_t seed);
+                   std::uint64_t seed, WarmupLimiter *warmup = nullptr);
 
     Pick pick(const PickQuery &query);
     /// Records a dispatched request. `work`: Pick::work.
@@ -171,6 +173,7 @@
 
     const PickerOptions options;
     EngineEstimates &engineEstimates;
+    WarmupLimiter *const warmup;
     const Clock &clock;
     std::mt19937_64 random;
     std::map<std::string, State, std::less<>> states;
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -25,9 +25,10 @@
 } // namespace
 
 UpstreamPicker::UpstreamPicker(PickerOptions options, EngineEstimates &engineEstimates,
-                               const Clock &clock, std::uint64_t seed)
+                               const Clock &clock, std::uint64_t seed, WarmupLimiter *warmup)
     : options(std::move(options))
     , engineEstimates(engineEstimates)
+    , warmup(warmup)
     , clock(clock)
     , random(seed)
     , notices(clock)
@@ -117,7 +118,8 @@
 
 bool UpstreamPicker::mayServe(const UpstreamRecord &upstream, const PickQuery &query) const
 {
-    return !contains(query.avoid, upstream.id) && this->notices.acceptsRequests(upstream);
+    return !contains(query.avoid, upstream.id) && this->notices.acceptsRequests(upstream)
+        && (!this->warmup || this->warmup->mayAssign(upstream));
 }
 
 UpstreamPicker::PromptSources UpstreamPicker::findPromptSources(const PickQuery &query)
@@ -181,7 +183,10 @@
 {
     Pick none;
     for (const UpstreamRef &candidate : query.candidates) {
-        const std::optional<Duration> left = this->notices.pauseLeft(*candidate);
+        std::optional<Duration> left = this->notices.pauseLeft(*candidate);
+        if (!left && this->warmup && this->notices.acceptsRequests(*candidate)) {
+            left = this->warmup->waitTime(*candidate);
+        }
         if (left && !contains(query.avoid, candidate->id)) {
             const bool isFirst = none.problem != PickProblem::AllPaused;
             none.pauseLeft = isFirst ? *left : std::min(none.pauseLeft, *left);
@@ -210,6 +215,9 @@
 
 void UpstreamPicker::onSent(const UpstreamRecord &upstream, Duration work)
 {
+    if (this->warmup) {
+        this->warmup->onAssigned(upstream);
+    }
     State &state = this->state(upstream);
     ++state.inFlight;
     if (work > Duration::zero()) {
--- a/libs/decision/tests/PickerTest.cpp
+++ b/libs/decision/tests/PickerTest.cpp
@@ -260,3 +260,38 @@
         CHECK(fixture.picker.pick(query).fetchFrom == holder);
     }
 }
+
+TEST_CASE("a cold upstream gets its share; when all are cold, the wait for the next one is told")
+{
+    PickerFixture fixture(2, 40);
+    WarmupLimiter warmup({.instance = "one", .overrun = 1, .slack = 0}, fixture.clock);
+    UpstreamPicker picker({}, fixture.engineEstimates, fixture.clock, 1, &warmup);
+    warmup.setRates({{"models", {8, seconds(3)}}});
+    fixture.clock.advance(seconds(10));
+    for (UpstreamRef &upstream : fixture.upstreams) {
+        UpstreamRecord record = *upstream;
+        record.coldLeft = seconds(3);
+        record.heardAt = fixture.clock.now();
+        upstream = std::make_shared<const UpstreamRecord>(std::move(record));
+    }
+    warmup.setUpstreams(UpstreamList(fixture.upstreams));
+    constexpr int kSharesOfBoth = 8; // Half of the rate of each.
+    for (int count = 0; count < kSharesOfBoth; ++count) {
+        const Pick pick = picker.pick(fixture.query());
+        REQUIRE(pick.upstream);
+        picker.onSent(*pick.upstream, {});
+        CHECK(warmup.trySend(*pick.upstream));
+    }
+    const Pick none = picker.pick(fixture.query());
+    CHECK(none.problem == PickProblem::AllPaused);
+    CHECK(none.pauseLeft > Duration::zero());
+    CHECK(none.pauseLeft <= WarmupOptions().window);
+    fixture.clock.advance(none.pauseLeft);
+    CHECK(picker.pick(fixture.query()).upstream);
+    fixture.clock.advance(seconds(3));
+    for (int count = 0; count < 20; ++count) { // Warm.
+        const Pick pick = picker.pick(fixture.query());
+        REQUIRE(pick.upstream);
+        picker.onSent(*pick.upstream, {});
+    }
+}
--- a/libs/settings/tests/SiteSettingsTest.cpp
+++ b/libs/settings/tests/SiteSettingsTest.cpp
@@ -15,7 +15,8 @@
              "peers": "10.1.0.1:7340", "metrics": "10.1.0.1:9100"},
   "seeds": ["10.1.0.40:8229", "10.2.0.29:8229"],
   "store": {"endpoint": "10.200.1.7:8223"},
-  "bounds": {"stopGraceSeconds": 8, "configApplyMs": 2000.5, "retryRatio": 0.9}
+  "bounds": {"stopGraceSeconds": 8, "configApplyMs": 2000.5, "retryRatio": 0.9,
+             "outOfServiceMs": 4000, "coldOverrun": 1.25, "coldSlack": 0}
 })";
 
 } // namespace
@@ -29,6 +30,9 @@
     CHECK(parsed.settings.seeds[1].text() == "10.2.0.29:7340");
     CHECK(parsed.settings.bounds.configApply == std::chrono::microseconds(2'000'500));
     CHECK(parsed.settings.processorMillis == 120);
+    CHECK(parsed.settings.bounds.outOfService == std::chrono::seconds(4));
+    CHECK(parsed.settings.bounds.coldOverrun == 1.25);
+    CHECK(parsed.settings.bounds.coldSlack == 0);
     CHECK(parsed.settings.bounds.retrySlack == SiteBounds().retrySlack);
 }
 
--- a/libs/upstreams/include/upstreams/UpstreamList.h
+++ b/libs/upstreams/include/upstreams/UpstreamList.h
@@ -32,6 +32,9 @@
     int slots = 1;
     UpstreamState state = UpstreamState::Ready;
     std::int64_t bornMs = 0; ///< Unix milliseconds of its start; 0 when it does not say.
+    /// How long it goes on warming up, as of its registration; empty when it does not say.
+    std::optional<Duration> coldLeft;
+    TimePoint heardAt{}; ///< When this process learned of the registration.
 
     /// Distinguishes two lives under one id.
     std::string incarnation() const { return this->id + "@" + std::to_string(this->bornMs); }
--- a/libs/upstreams/src/Presence.cpp
+++ b/libs/upstreams/src/Presence.cpp
@@ -18,6 +18,7 @@
 
 void Presence::onRegistered(UpstreamRecord record)
 {
+    record.heardAt = this->clock.now();
     Entry &entry = this->entries[record.id];
     entry.record = std::make_shared<const UpstreamRecord>(std::move(record));
     entry.dropAt.reset();
