--- a/kernel/include/kernel/Site.h
+++ b/kernel/include/kernel/Site.h
@@ -35,11 +35,13 @@
 struct CatalogUpdate
 {
     std::shared_ptr<const Catalog> catalog;
+    std::vector<std::string> clampedFields; ///< Fields with figures out of range, for the log.
 };
 /// A registration of an upstream, new or changed.
 struct UpstreamUpdate
 {
     UpstreamRecord upstream;
+    std::vector<std::string> clampedFields; ///< Fields with figures out of range, for the log.
 };
 /// The registration of an upstream has been deleted.
 struct UpstreamRemoval
@@ -51,13 +53,19 @@
 {
     RolloutOrder order;
 };
+/// Operators have taken a failure domain out of service, or have taken that back.
+struct DomainUpdate
+{
+    std::string failureDomain;
+    bool isOutOfService = false;
+};
 /// A record that has no effect on this process.
 struct IgnoredRecord
 {
 };
 /// The decoded content of one record of the store.
-using SiteUpdate =
-    std::variant<IgnoredRecord, CatalogUpdate, UpstreamUpdate, UpstreamRemoval, RolloutUpdate>;
+using SiteUpdate = std::variant<IgnoredRecord, CatalogUpdate, UpstreamUpdate, UpstreamRemoval,
+                                RolloutUpdate, DomainUpdate>;
 
 /// Decodes and encodes the records whose format the platform defines. Thread safe.
 class RecordCodec
--- a/kernel/src/control/PeerMessenger.h
+++ b/kernel/src/control/PeerMessenger.h
@@ -24,6 +24,7 @@
     FetchRecord = 'o',          ///< Returns a whole record of the platform's store.
     FetchRecordPart = 'p',      ///< Returns a part of an encoding of a record.
     ConfirmCatalog = 'k', ///< Returns how lately the store has confirmed the catalog's record.
+    FetchDomains = 'd',   ///< Returns the records of failure domains that are out of service.
     RolloutCounts = 'v',  ///< Counts for a collector of a roll-out, or notice that it is held.
 };
 
--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -203,7 +203,8 @@
         }
         AcquireResult acquired = this->acquire();
         if (!acquired.lease) {
-            if (acquired.error == AcquireError::TooBusy) {
+            if (acquired.error != AcquireError::Cancelled
+                && acquired.retryAfter > Duration::zero()) {
                 this->retryAfter = acquired.retryAfter;
             }
             if (this->isWithdrawn) {
@@ -287,8 +288,7 @@
 
 bool RequestForwarder::isInUse(const UpstreamRecord &upstream) const
 {
-    const UpstreamRef current = this->context.control.view()->upstreams->find(upstream.id);
-    return current && current->state == UpstreamState::Ready;
+    return this->context.control.view()->upstreams->isReady(upstream.id);
 }
 
 RequestForwarder::AttemptOutcome RequestForwarder::attempt(UpstreamLease &lease)
@@ -320,8 +320,9 @@
     options.freshConnection = !this->request.route->mayRunAgain();
     options.correlation =
         Correlation{this->context.requestCodec.correlationHeader(), this->request.caller.requestId};
-    options.isStillWanted = [this, &upstream] {
-        return !this->isWithdrawn && !this->exchange.callerGone() && this->isInUse(upstream);
+    options.isStillWanted = [this, &upstream, &lease] {
+        return !this->isWithdrawn && !this->exchange.callerGone() && this->isInUse(upstream)
+            && lease.trySend();
     };
     ++this->connectAttempts;
     this->currentAttempt = &attempt;
--- a/kernel/src/relay/UpstreamScheduler.cpp
+++ b/kernel/src/relay/UpstreamScheduler.cpp
@@ -13,6 +13,9 @@
 
 /// Shared prompts with fewer tokens are not worth announcing to other instances.
 constexpr int kMinAnnouncedTokens = 1000;
+/// Operators take failure domains back in their own time; callers that return more often only add
+/// load.
+constexpr Duration kRetryAfterOutOfService = seconds(2);
 
 std::uint32_t sharedPromptId(const UpstreamRequirements &requirements)
 {
@@ -32,11 +35,28 @@
 UpstreamLease::~UpstreamLease()
 {
     this->markPrefilled();
+    if (!this->isSent) {
+        this->scheduler.warmup.onReleased(this->upstream());
+    }
     this->scheduler.picker.onEnded(this->upstream(), this->result);
     this->scheduler.waitEstimator(this->upstream().service).onSlotFreed();
     this->scheduler.dispatchWaiters();
 }
 
+bool UpstreamLease::trySend()
+{
+    this->isSent = this->scheduler.warmup.trySend(this->upstream());
+    return this->isSent;
+}
+
+void UpstreamLease::setResult(AttemptResult next)
+{
+    this->result = next;
+    if (next == AttemptResult::ConnectFailed) {
+        this->scheduler.warmup.onConnectFailed(this->upstream());
+    }
+}
+
 void UpstreamLease::onLoad(const LoadSample &sample)
 {
     this->scheduler.picker.onLoad(this->upstream(), sample);
@@ -71,11 +91,12 @@
 }
 
 UpstreamScheduler::UpstreamScheduler(PickerOptions options, EngineEstimates &engineEstimates,
-                                     const Clock &clock, std::uint64_t seed,
+                                     WarmupLimiter &warmup, const Clock &clock, std::uint64_t seed,
                                      UpstreamSchedulerListener listener)
     : clock(clock)
     , engineEstimates(engineEstimates)
-    , picker(std::move(options), engineEstimates, clock, seed)
+    , warmup(warmup)
+    , picker(std::move(options), engineEstimates, clock, seed, &warmup)
     , listener(std::move(listener))
 { }
 
@@ -84,6 +105,7 @@
     this->list = std::move(next);
     this->liveInstances = instances;
     this->picker.retain(*this->list);
+    this->warmup.setUpstreams(*this->list);
     this->dispatchWaiters();
 }
 
@@ -132,6 +154,13 @@
     return this->picker.pick(query);
 }
 
+AcquireResult UpstreamScheduler::noUpstream(const std::string &service) const
+{
+    const bool isOutOfService = this->list->hasOutOfService(service);
+    return {nullptr, AcquireError::NoUpstream,
+            isOutOfService ? kRetryAfterOutOfService : Duration::zero()};
+}
+
 QueueWaitEstimator &UpstreamScheduler::waitEstimator(const std::string &service)
 {
     return this->waitEstimators.try_emplace(service, QueueWaitOptions(), this->clock).first->second;
@@ -157,7 +186,7 @@
             {}};
     }
     if (picked.problem == PickProblem::NoUpstream) {
-        return {nullptr, AcquireError::NoUpstream, {}};
+        return this->noUpstream(requirements.service);
     }
     if (picked.problem == PickProblem::AllPaused && picked.pauseLeft >= maxWait) {
         return {nullptr, AcquireError::TooBusy, picked.pauseLeft};
@@ -168,7 +197,7 @@
         || maxWait <= Duration::zero()) {
         return {nullptr, AcquireError::TooBusy, estimator.retryAfter(waitersAhead)};
     }
-    Waiter waiter{requirements, cancelled, {}};
+    Waiter waiter{requirements, cancelled, {}, false};
     auto position = this->waiters.begin();
     while (position != this->waiters.end()
            && (*position)->requirements.priority <= requirements.priority) {
@@ -183,6 +212,10 @@
                 AcquireError::None,
                 {}};
     }
+    if (waiter.isRejected) {
+        cancelled.reset();
+        return this->noUpstream(requirements.service);
+    }
     this->waiters.erase(entry);
     return {nullptr, cancelled.isSet() ? AcquireError::Cancelled : AcquireError::TooBusy,
             this->waitEstimator(requirements.service)
@@ -201,6 +234,13 @@
             ++position;
             continue;
         }
+        if (this->list->ready(requirements.service).empty()
+            && this->list->hasOutOfService(requirements.service)) {
+            waiter.isRejected = true;
+            position = this->waiters.erase(position);
+            waiter.ready.set();
+            continue;
+        }
         Pick picked = this->pick(requirements, slot.versions);
         if (picked.upstream) {
             waiter.assigned = std::move(picked);
