Load: one estimate for each upstream, shared by all instances

Cause: a load header with a fourth figure (how long work takes there now) was dropped whole, so sites whose upstreams send it had no load reports at all. Without a fresh report an instance took its own requests times the live instances for the load; with 62 to 91 instances one own request made an upstream full. An upstream's speed did not count.

Change: the library `load` keeps one estimate for each upstream: requests there, pace, capacity, age, uncertainty. It joins reports with answers to this instance, reports and ended requests that other instances pass on through the collectors, and the backlogs that show what they have sent. The picker scores by the expected delay at the upstream's pace, and spreads over as many of the best as the fleet's unseen arrivals fill. Load travels in datagrams of its own, so that older instances still read the backlogs.

Not in this commit: evidence of health is still each instance's own.

--- a/bench/capacity/DecisionCost.cpp
+++ b/bench/capacity/DecisionCost.cpp
@@ -55,8 +55,12 @@
     }
     EngineEstimates engineEstimates{{{}, 1, clock}, {{}, clock}};
     UpstreamPicker picker({}, engineEstimates, clock, 1);
+    for (const UpstreamRef &upstream : upstreams) {
+        picker.onLoad(*upstream, {.running = 30, .waiting = 2, .slots = 48, .pace = 0.8});
+    }
     PickQuery query;
     query.candidates = upstreams;
+    query.liveInstances = 95;
     query.affinityKey = 7;
     query.ownWork = std::chrono::milliseconds(37);
     query.sharedWork = std::chrono::milliseconds(56);
@@ -72,7 +76,7 @@
     state.SetComplexityN(state.range(0));
 }
 
-BENCHMARK(pickUpstream)->Arg(12)->Arg(150)->Arg(600)->Complexity(benchmark::oN);
+BENCHMARK(pickUpstream)->Arg(12)->Arg(80)->Arg(150)->Arg(600)->Complexity(benchmark::oN);
 
 BENCHMARK(chooseUpstream)
     ->Arg(12)
--- a/kernel/src/relay/BacklogGossip.cpp
+++ b/kernel/src/relay/BacklogGossip.cpp
@@ -19,6 +19,13 @@
 /// time.
 constexpr Duration kCollectorFlushDelay = milliseconds(15);
 
+/// Reports of load that occur within this time share a datagram; a fraction of the time for which
+/// most requests hold a slot.
+constexpr Duration kLoadFlushInterval = milliseconds(40);
+
+/// Of all instances of a failure domain: 400 a second, 12 bytes each.
+constexpr std::size_t kMaxEndedPerFlush = 16;
+
 /// Chunk `index` of `list`, in chunks of kMaxUpdatesPerDatagram.
 template <typename Update>
 std::vector<Update> chunkOf(const std::vector<Update> &list, std::size_t index)
@@ -74,14 +81,20 @@
 }
 
 BacklogGossip::BacklogGossip(FiberRuntime &runtime, const std::string &self, const Endpoint &listen,
-                             EngineEstimates &engineEstimates, Metrics &metrics)
+                             EngineEstimates &engineEstimates, const Clock &clock, Metrics &metrics)
     : runtime(runtime)
     , self(self)
     , engineEstimates(engineEstimates)
+    , clock(clock)
     , socket(runtime, listen, [this](std::string_view datagram) { this->onDatagram(datagram); })
     , sent(metrics.counter("backlog_datagrams_sent_total"))
     , received(metrics.counter("backlog_datagrams_received_total"))
     , malformed(metrics.counter("backlog_datagrams_malformed_total"))
+    , loadReportsSent(metrics.counter("load_reports_sent_total"))
+    , loadReportsReceived(metrics.counter("load_reports_received_total"))
+    , loadForCollector{{{}, clock}, {}}
+    , loadForCollectors{{{}, clock}, {}}
+    , loadForMembers{{{}, clock}, {}}
 { }
 
 absl::Status BacklogGossip::start()
@@ -109,20 +122,25 @@
 {
     this->engineEstimates.backlog.expire();
     this->engineEstimates.cachedPrompts.expire();
+    this->engineEstimates.load.expire();
     this->onLocalChange();
 }
 
 void BacklogGossip::onDatagram(std::string_view datagram)
 {
     this->received.add();
-    absl::StatusOr<BacklogMessage> message = decodeBacklog(datagram);
+    absl::StatusOr<BacklogMessage> message = decodeBacklog(datagram, this->clock.now());
     if (!message.ok()) {
         this->malformed.add();
         return;
     }
-    std::erase_if(message->backlogUpdates, [this](const BacklogUpdate &update) {
-        return !this->engineEstimates.backlog.applyUpdate(update);
-    });
+    if (!message->loadReports.empty() || !message->ended.empty()) {
+        this->onLoadReports(message->stage, message->loadReports);
+        this->onOthersEnded(message->stage, message->ended);
+        this->loadListener();
+    }
+    std::erase_if(message->backlogUpdates,
+                  [this](const BacklogUpdate &update) { return !this->applyUpdate(update); });
     for (const PromptCacheUpdate &cachedPrompt : message->cachedPrompts) {
         this->engineEstimates.cachedPrompts.onPrefilled(cachedPrompt);
     }
@@ -166,6 +184,111 @@
                this->peers.members);
 }
 
+bool BacklogGossip::applyUpdate(const BacklogUpdate &update)
+{
+    PrefillBacklog &backlog = this->engineEstimates.backlog;
+    const Duration before = backlog.pendingWork(update.upstream);
+    const bool isNew = backlog.applyUpdate(update);
+    if (backlog.pendingWork(update.upstream) > before) {
+        this->engineEstimates.load.onOtherSent(update.upstream);
+    }
+    return isNew;
+}
+
+void BacklogGossip::onLoadReports(BacklogStage stage, const std::vector<PeerLoadReport> &reports)
+{
+    this->loadReportsReceived.add(static_cast<std::int64_t>(reports.size()));
+    for (const PeerLoadReport &report : reports) {
+        if (!this->engineEstimates.load.applyReport(report) || stage == BacklogStage::ToMembers) {
+            continue;
+        }
+        this->loadForMembers.reports.add(report);
+        if (stage == BacklogStage::ToCollector) {
+            this->loadForCollectors.reports.add(report);
+        }
+        this->scheduleLoadFlush();
+    }
+}
+
+void BacklogGossip::onOthersEnded(BacklogStage stage, const std::vector<EndedRequests> &ended)
+{
+    for (const EndedRequests &item : ended) {
+        if (item.instance == this->engineEstimates.backlog.ownInstance()) {
+            continue;
+        }
+        this->engineEstimates.load.onOtherEnded(item.upstream, item.count);
+        if (stage == BacklogStage::ToMembers) {
+            continue;
+        }
+        this->loadForMembers.ended.push_back(item);
+        if (stage == BacklogStage::ToCollector) {
+            this->loadForCollectors.ended.push_back(item);
+        }
+        this->scheduleLoadFlush();
+    }
+}
+
+void BacklogGossip::scheduleLoadFlush()
+{
+    if (std::exchange(this->isLoadFlushScheduled, true)) {
+        return;
+    }
+    this->runtime.spawn([this] {
+        this->runtime.sleepFor(kLoadFlushInterval);
+        this->isLoadFlushScheduled = false;
+        this->flushLoad();
+    });
+}
+
+void BacklogGossip::flushLoad()
+{
+    this->dueReports.clear();
+    this->engineEstimates.load.takeReports(this->dueReports);
+    this->dueEnded.clear();
+    this->engineEstimates.load.takeEnded(this->dueEnded);
+    const std::uint32_t instance = this->engineEstimates.backlog.ownInstance();
+    const auto add = [&](LoadBatch &batch) {
+        for (const PeerLoadReport &report : this->dueReports) {
+            batch.reports.add(report);
+        }
+        for (const auto &[upstream, count] : this->dueEnded) {
+            batch.ended.push_back({instance, upstream, count});
+        }
+    };
+    if (this->peers.collector) {
+        add(this->loadForCollector);
+        this->sendLoad(BacklogStage::ToCollector, this->loadForCollector, {*this->peers.collector});
+    } else {
+        add(this->loadForCollectors);
+        add(this->loadForMembers);
+    }
+    this->sendLoad(BacklogStage::ToCollectors, this->loadForCollectors, this->peers.collectors);
+    this->sendLoad(BacklogStage::ToMembers, this->loadForMembers, this->peers.members);
+    if (!this->loadForCollector.empty() || !this->loadForCollectors.empty()
+        || !this->loadForMembers.empty()) {
+        this->scheduleLoadFlush();
+    }
+}
+
+void BacklogGossip::sendLoad(BacklogStage stage, LoadBatch &pending,
+                             const std::vector<Endpoint> &receivers)
+{
+    const std::vector<PeerLoadReport> reports = pending.reports.take();
+    std::vector<EndedRequests> ended = std::exchange(pending.ended, {});
+    // What isn't told is learned from the next report of the upstream.
+    ended.resize(std::min(ended.size(), kMaxEndedPerFlush));
+    const std::size_t longest = std::max(reports.size(), ended.size());
+    for (std::size_t chunk = 0; chunk * kMaxUpdatesPerDatagram < longest; ++chunk) {
+        const BacklogMessage message{stage, {}, {}, chunkOf(reports, chunk), chunkOf(ended, chunk)};
+        const std::string datagram = encodeBacklog(message, this->clock.now());
+        for (const Endpoint &receiver : receivers) {
+            (void)this->socket.send(receiver, datagram); // The next report makes up for a lost one.
+            this->sent.add();
+            this->loadReportsSent.add(static_cast<std::int64_t>(message.loadReports.size()));
+        }
+    }
+}
+
 void BacklogGossip::UpdateBatch::add(const UpdateBatch &more)
 {
     this->backlogUpdates.insert(this->backlogUpdates.end(), more.backlogUpdates.begin(),
@@ -180,9 +303,12 @@
     const std::size_t longest =
         std::max(pending.backlogUpdates.size(), pending.cachedPrompts.size());
     for (std::size_t chunk = 0; chunk * kMaxUpdatesPerDatagram < longest; ++chunk) {
-        const BacklogMessage message{stage, chunkOf(pending.backlogUpdates, chunk),
-                                     chunkOf(pending.cachedPrompts, chunk)};
-        const std::string datagram = encodeBacklog(message);
+        const BacklogMessage message{stage,
+                                     chunkOf(pending.backlogUpdates, chunk),
+                                     chunkOf(pending.cachedPrompts, chunk),
+                                     {},
+                                     {}};
+        const std::string datagram = encodeBacklog(message, this->clock.now());
         for (const Endpoint &receiver : receivers) {
             (void)this->socket.send(receiver, datagram); // A refresh repeats lost backlog updates.
             this->sent.add();
--- a/kernel/src/relay/BacklogGossip.h
+++ b/kernel/src/relay/BacklogGossip.h
@@ -1,11 +1,12 @@
-// Exchanges the prefill backlog of engines and the locations of cached shared prompts with the
-// other instances, by datagram.
+// Exchanges the prefill backlog of engines, the locations of cached shared prompts and the load of
+// upstreams with the other instances, by datagram.
 //
 // On a small site each instance sends its updates to all others. On a larger site all instances
 // choose the same collector for each failure domain: an instance sends to its collector, which
 // forwards to the other collectors and to the instances of its own failure domain. An instance thus
 // receives the batches of one collector instead of one datagram per request of every other
-// instance.
+// instance. Of the load, each sends the latest report of each upstream, in datagrams of their own
+// and at most a fixed number a second, whatever the size of the site.
 #pragma once
 
 #include "BacklogMessage.h"
@@ -13,11 +14,14 @@
 #include "site/SiteView.h"
 
 #include <decision/UpstreamPicker.h>
+#include <load/LoadReportBatch.h>
 #include <runtime/DatagramSocket.h>
 #include <telemetry/Metrics.h>
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace basilnotch {
@@ -41,9 +45,9 @@
 class BacklogGossip
 {
 public:
-    /// `runtime`, `engineEstimates` and `metrics` must outlive this object.
+    /// `runtime`, `engineEstimates`, `clock` and `metrics` must outlive this object.
     BacklogGossip(FiberRuntime &runtime, const std::string &self, const Endpoint &listen,
-                  EngineEstimates &engineEstimates, Metrics &metrics);
+                  EngineEstimates &engineEstimates, const Clock &clock, Metrics &metrics);
 
     /// Opens the socket. Call before the runtime runs; returns the socket's error if that fails.
     absl::Status start();
@@ -53,14 +57,35 @@
     void onLocalChange();
     /// Announces that an engine has prefilled a shared prompt of this instance.
     void onPromptPrefilled(const PromptCacheUpdate &update);
+    /// Schedules a send after an answer that reported its upstream's load.
+    void onLoadReported() { this->scheduleLoadFlush(); }
+    /// Called when reports of other instances have arrived, and with them perhaps a free slot.
+    void setLoadListener(std::function<void()> listener)
+    {
+        this->loadListener = std::move(listener);
+    }
     /// Repeats backlog updates that other instances may have missed and drops expired estimates.
     /// Call periodically.
     void refresh();
 
 private:
     void onDatagram(std::string_view datagram);
+    bool applyUpdate(const BacklogUpdate &update);
+    void onLoadReports(BacklogStage stage, const std::vector<PeerLoadReport> &reports);
+    void onOthersEnded(BacklogStage stage, const std::vector<EndedRequests> &ended);
     void scheduleFlush(Duration delay);
     void flush();
+    void scheduleLoadFlush();
+    void flushLoad();
+    /// News of load to be sent at one stage.
+    struct LoadBatch
+    {
+        LoadReportBatch reports;
+        std::vector<EndedRequests> ended;
+
+        bool empty() const { return this->reports.empty() && this->ended.empty(); }
+    };
+    void sendLoad(BacklogStage stage, LoadBatch &pending, const std::vector<Endpoint> &receivers);
     /// Updates to be sent at one stage.
     struct UpdateBatch
     {
@@ -75,15 +100,26 @@
     FiberRuntime &runtime;
     const std::string self;
     EngineEstimates &engineEstimates;
+    const Clock &clock;
     DatagramSocket socket;
     Counter &sent;
     Counter &received;
     Counter &malformed;
+    Counter &loadReportsSent;
+    Counter &loadReportsReceived;
     GossipPeers peers;
     UpdateBatch pendingLocal; ///< Updates of this instance; backlog updates are added when sending.
     UpdateBatch pendingForCollectors; ///< Received from members, to be forwarded.
     UpdateBatch pendingForMembers;    ///< Received from any instance, to be forwarded.
     bool isFlushScheduled = false;
+    LoadBatch loadForCollector;  ///< Of this instance.
+    LoadBatch loadForCollectors; ///< Of this instance, or received from members.
+    LoadBatch loadForMembers;    ///< Of this instance, or received from any.
+    bool isLoadFlushScheduled = false;
+    // Scratch buffers of flushLoad().
+    std::vector<PeerLoadReport> dueReports;
+    std::vector<std::pair<std::uint32_t, int>> dueEnded;
+    std::function<void()> loadListener = [] {};
 };
 
 } // namespace basilnotch
--- a/kernel/src/relay/BacklogMessage.h
+++ b/kernel/src/relay/BacklogMessage.h
@@ -1,10 +1,11 @@
-// Encoding of the datagrams in which instances exchange the prefill backlog of engines and the
-// locations of cached shared prompts.
+// Encoding of the datagrams in which instances exchange the prefill backlog of engines, the
+// locations of cached shared prompts and the load of upstreams.
 #pragma once
 
 #include <base/Failure.h>
 #include <decision/PrefillBacklog.h>
 #include <decision/PromptCacheIndex.h>
+#include <load/PeerLoadReport.h>
 
 #include <string>
 #include <string_view>
@@ -24,13 +25,18 @@
     BacklogStage stage = BacklogStage::ToMembers;
     std::vector<BacklogUpdate> backlogUpdates;
     std::vector<PromptCacheUpdate> cachedPrompts;
+    /// Sent without other updates: instances of an older version refuse such a datagram.
+    std::vector<PeerLoadReport> loadReports;
+    std::vector<EndedRequests> ended;
 };
 
 /// Maximum number of updates of each kind in a datagram, so that it fits into one packet.
 inline constexpr std::size_t kMaxUpdatesPerDatagram = 45;
 
-std::string encodeBacklog(const BacklogMessage &message);
-/// Returns DataLoss if `datagram` is not a valid message.
-absl::StatusOr<BacklogMessage> decodeBacklog(std::string_view datagram);
+/// `now`: sent reports state their age.
+std::string encodeBacklog(const BacklogMessage &message, TimePoint now);
+/// Skips parts that a newer version may append. Returns DataLoss if `datagram` is not a valid
+/// message.
+absl::StatusOr<BacklogMessage> decodeBacklog(std::string_view datagram, TimePoint now);
 
 } // namespace basilnotch
--- a/kernel/src/relay/SiteServer.cpp
+++ b/kernel/src/relay/SiteServer.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr Duration kMaintenanceInterval = milliseconds(50);
+constexpr Duration kInvalidPaceLogInterval = seconds(10);
 /// An event loop that is this late delays answers, and notices callers that leave too late.
 constexpr Duration kOverloadDelay = milliseconds(100);
 /// Time to receive a body after its header.
@@ -88,10 +89,11 @@
         : client(this->runtime, upstreamClientOptions())
         , engineEstimates{{{}, static_cast<std::uint32_t>(hash64(control.incarnation())), clock},
                           {{}, clock}}
-        , gossip(this->runtime, settings.instance, settings.peers, this->engineEstimates, metrics)
+        , gossip(this->runtime, settings.instance, settings.peers, this->engineEstimates, clock,
+                 metrics)
         , scheduler(
               pickerOptions(settings), this->engineEstimates, clock, hash64(settings.instance, 2),
-              {[this] { this->gossip.onLocalChange(); },
+              {[this] { this->gossip.onLocalChange(); }, [this] { this->gossip.onLoadReported(); },
                [this](const PromptCacheUpdate &update) { this->gossip.onPromptPrefilled(update); }})
         , quarantine({kCrashesToQuarantine, kCrashRetention}, clock)
         , promptQuarantine({.retention = kCrashRetention}, clock)
@@ -122,6 +124,7 @@
         , readinessServer(this->runtime, auxiliaryOptions(settings.health), this->readiness)
         , metricsServer(this->runtime, auxiliaryOptions(settings.metrics), this->metricsHandler)
     {
+        this->gossip.setLoadListener([this] { this->scheduler.dispatchWaiters(); });
         SiteListener listener;
         listener.viewChanged = [this] { this->runtime.post([this] { this->applyView(); }); };
         listener.crash = [this](const std::string &fingerprint, const std::string &upstream) {
@@ -166,12 +169,31 @@
         }
     }
 
+    /// Logs that upstreams or instances report paces that can't be. At most one line in a while.
+    void reportInvalidPaces()
+    {
+        const std::int64_t count = this->engineEstimates.load.invalidPaces();
+        const TimePoint now = this->context.clock.now();
+        this->context.metrics.counter("load_reports_invalid_pace_total").set(count);
+        if (count == this->loggedInvalidPaces
+            || (this->invalidPacesLoggedAt
+                && now - *this->invalidPacesLoggedAt < kInvalidPaceLogInterval)) {
+            return;
+        }
+        this->context.log.write(LogKind::State, "invalid pace in load reports",
+                                {{"count", count - this->loggedInvalidPaces},
+                                 {"effect", "ignored if no pace, else clamped"}});
+        this->loggedInvalidPaces = count;
+        this->invalidPacesLoggedAt = now;
+    }
+
     void runMaintenance()
     {
         LatencyHistogram &loopDelay = this->context.metrics.histogram("event_loop_delay_seconds");
         Counter &picks = this->context.metrics.counter("upstream_picks_total");
         while (true) {
             picks.set(this->scheduler.pickCount());
+            this->reportInvalidPaces();
             this->withdrawQuarantined();
             this->scheduler.dispatchWaiters();
             this->gossip.refresh();
@@ -207,6 +229,8 @@
     RolloutInitialQuota initialQuota;
     std::set<RequestForwarder *> activePrompts;
     std::optional<TimePoint> latestQuarantine; ///< Requests under way have been checked for it.
+    std::int64_t loggedInvalidPaces = 0;
+    std::optional<TimePoint> invalidPacesLoggedAt;
     RelayContext context;
     RelayHandler relayHandler;
     DirectoryHandler directory;
--- a/kernel/src/relay/UpstreamScheduler.cpp
+++ b/kernel/src/relay/UpstreamScheduler.cpp
@@ -27,12 +27,23 @@
     : scheduler(scheduler)
     , pick(std::move(pick))
     , prompt(prompt)
+    , assignedAt(scheduler.clock.now())
 { }
 
 UpstreamLease::~UpstreamLease()
 {
     this->markPrefilled();
+    if (this->firstByteAt && this->result == AttemptResult::Good) {
+        this->scheduler.picker.onAnswered(this->upstream(), *this->firstByteAt - this->assignedAt,
+                                          this->expectedPrefillTime());
+    }
     this->scheduler.picker.onEnded(this->upstream(), this->result);
+    if (this->pick.work > Duration::zero()) {
+        // The backlog has told the other instances of this request.
+        this->scheduler.engineEstimates.load.onToldEnded(
+            PrefillBacklog::engineKey(this->upstream()));
+        this->scheduler.listener.loadReported();
+    }
     this->scheduler.waitEstimator(this->upstream().service).onSlotFreed();
     this->scheduler.dispatchWaiters();
 }
@@ -40,6 +51,7 @@
 void UpstreamLease::onLoad(const LoadSample &sample)
 {
     this->scheduler.picker.onLoad(this->upstream(), sample);
+    this->scheduler.listener.loadReported();
 }
 
 void UpstreamLease::onLeaving()
@@ -62,6 +74,9 @@
 
 void UpstreamLease::onFirstByte()
 {
+    if (!this->firstByteAt) {
+        this->firstByteAt = this->scheduler.clock.now();
+    }
     if (!this->isPrefilled && this->prompt != 0) {
         const PromptCacheUpdate update{this->prompt, PrefillBacklog::engineKey(this->upstream())};
         this->scheduler.engineEstimates.cachedPrompts.onPrefilled(update);
--- a/kernel/src/relay/UpstreamScheduler.h
+++ b/kernel/src/relay/UpstreamScheduler.h
@@ -92,6 +92,8 @@
     UpstreamScheduler &scheduler;
     const Pick pick;
     const std::uint32_t prompt;
+    const TimePoint assignedAt;
+    std::optional<TimePoint> firstByteAt;
     bool isPrefilled = false;
     std::optional<AttemptResult> result;
 };
@@ -115,6 +117,8 @@
 {
     /// The backlog of an engine has changed through this instance.
     std::function<void()> backlogChanged;
+    /// An upstream has reported its load.
+    std::function<void()> loadReported;
     /// An engine has prefilled a shared prompt.
     std::function<void(const PromptCacheUpdate &update)> promptPrefilled;
 };
--- a/kernel/tests/UpstreamSchedulerTest.cpp
+++ b/kernel/tests/UpstreamSchedulerTest.cpp
@@ -28,8 +28,11 @@
 {
     ManualClock clock;
     EngineEstimates engineEstimates{{{}, 1, this->clock}, {{}, this->clock}};
-    UpstreamScheduler scheduler{
-        {}, this->engineEstimates, this->clock, 1, {[] {}, [](const PromptCacheUpdate &) {}}};
+    UpstreamScheduler scheduler{{},
+                                this->engineEstimates,
+                                this->clock,
+                                1,
+                                {[] {}, [] {}, [](const PromptCacheUpdate &) {}}};
     VersionFilter versions;
 
     void setUpstreams(std::vector<UpstreamRef> list)
--- a/libs/decision/include/decision/PrefillBacklog.h
+++ b/libs/decision/include/decision/PrefillBacklog.h
@@ -46,6 +46,8 @@
     /// `instance`: hash of this instance's incarnation.
     PrefillBacklog(PrefillBacklogOptions options, std::uint32_t instance, const Clock &clock);
 
+    const Clock &usedClock() const { return this->clock; }
+    std::uint32_t ownInstance() const { return this->instance; }
     /// Key of an engine; differs after a restart of the engine.
     static std::uint32_t engineKey(const UpstreamRecord &upstream);
 
--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -1,6 +1,7 @@
-// Selects one of a service's live upstreams for a request by expected delay: from reported load,
-// what this instance has sent since, the prompt parts that are likely to be cached, and passive
-// health checks. No network, no fibers.
+// Selects one of a service's live upstreams for a request by expected delay: from the estimates of
+// load and pace, the prompt parts that are likely to be cached, and passive health checks. Many
+// instances select at the same time from similar estimates, so each spreads its requests over as
+// many of the best upstreams as the fleet's unseen arrivals fill. No network, no fibers.
 #pragma once
 
 #include <base/Clock.h>
@@ -8,6 +9,7 @@
 #include <decision/PromptCacheIndex.h>
 #include <decision/UpstreamHealth.h>
 #include <decision/UpstreamNotices.h>
+#include <load/LoadEstimate.h>
 #include <upstreams/UpstreamList.h>
 
 #include <cstdint>
@@ -17,24 +19,17 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace basilnotch {
 
-/// Load that an upstream reports with a response.
-struct LoadSample
-{
-    int running = 0;
-    int waiting = 0;
-    int slots = 0;
-};
-
 struct PickerOptions
 {
     HealthOptions health;
     std::string ownDomain;
     Duration otherDomainPenalty = std::chrono::milliseconds(2); ///< Round trip between domains.
-    Duration maxSampleAge = std::chrono::milliseconds(1500);    ///< Older load samples are ignored.
     /// Cost to operators of prefilling 1,000 shared tokens again, as an equivalent delay.
     Duration prefillCostPer1000 = std::chrono::milliseconds(30);
     /// Cost to operators of transferring 1,000 cached tokens between engines, as an equivalent
@@ -43,8 +38,14 @@
     /// Duration of such a transfer: links carry a prompt in a few milliseconds.
     Duration fetchTime = std::chrono::milliseconds(10);
     int minFetchedTokens = 500; ///< The prefill of shorter prompts is as fast as a transfer.
-    /// Added delay per request at the upstream.
+    /// Added delay per request at an upstream of the usual pace.
     Duration delayPerRequest = std::chrono::milliseconds(3);
+    /// Time constant of the mean time that requests spend at a service's upstreams.
+    Duration holdTimeSmoothing = std::chrono::seconds(10);
+    Duration initialHoldTime = std::chrono::seconds(1); ///< Until a request has ended.
+    double serviceTimeSmoothing = 0.05; ///< Weight of the newest answer in a service's times.
+    /// Part of the time to an answer that doesn't depend on the upstream's pace.
+    Duration fixedDelay = std::chrono::milliseconds(10);
     double scoreTolerance = 0.1; ///< Scores within this fraction of the best count as equal.
     Duration scoreToleranceTime = std::chrono::milliseconds(2);
     double maxSlotShare = 1.0; ///< Share of the slots from which an upstream counts as full.
@@ -86,6 +87,7 @@
 {
     PrefillBacklog backlog;
     PromptCacheIndex cachedPrompts;
+    LoadEstimate load{{}, this->backlog.usedClock()};
 };
 
 /// Not thread-safe.
@@ -105,6 +107,9 @@
     /// health. Returns true if the result has paused the upstream.
     bool onEnded(const UpstreamRecord &upstream, std::optional<AttemptResult> result);
     void onLoad(const UpstreamRecord &upstream, const LoadSample &sample);
+    /// The first byte of a good answer arrived `took` after the request was sent; `expected`: time
+    /// of the prefills until then, zero for services without.
+    void onAnswered(const UpstreamRecord &upstream, Duration took, Duration expected);
     /// The upstream said in an answer that it is about to exit: its incarnation is not picked
     /// again.
     void onLeaving(const UpstreamRecord &upstream) { this->notices.onLeaving(upstream); }
@@ -125,20 +130,33 @@
         UpstreamHealth health;
         std::uint32_t backlogKey = 0;
         int inFlight = 0; ///< Requests of this instance that have not ended.
-        LoadSample sample;
-        TimePoint sampledAt{};
-        int inFlightAtSample = 0;
         std::int64_t bornMs = 0;
     };
 
+    /// What this instance has measured at all upstreams of a service. Both sums fade.
+    struct ServiceTimes
+    {
+        int inFlight = 0;          ///< Requests of this instance that have not ended.
+        double requestSeconds = 0; ///< Time that requests have spent at upstreams.
+        double ended = 0;          ///< Requests that have ended.
+        TimePoint updatedAt{};
+        double answerSeconds = 0; ///< Mean time to an answer at the usual pace; 0 if unknown.
+        double logRatio = 0;      ///< Mean logarithm of measured by expected times.
+    };
+
     State &state(const UpstreamRecord &upstream);
-    double load(const State &state, int liveInstances) const;
+    ServiceTimes &serviceTimes(const UpstreamRecord &upstream);
+    /// Brings the sums up to now.
+    void fade(ServiceTimes &times) const;
+    Duration holdTime(const ServiceTimes &times) const;
     /// A candidate with its expected delay. Kept between calls, so that a decision allocates
     /// nothing.
     struct Scored
     {
         const UpstreamRef *upstream = nullptr;
         double ms = 0;
+        double msPerRequest = 0; ///< Delay that one more request there adds.
+        double weight = 0;       ///< In the choice between the near-best candidates.
         Duration work{};
         Duration ahead{};
         bool fetches = false; ///< Fetches the shared prompt from a holder.
@@ -156,10 +174,11 @@
     PromptSources findPromptSources(const PickQuery &query);
     /// The candidate that all instances select for a shared prompt; null without candidates.
     static const UpstreamRecord *homeEngine(const PickQuery &query);
-    Scored score(const UpstreamRef &upstream, const PickQuery &query, const PromptSources &sources);
+    Scored score(const UpstreamRef &upstream, const State &state, const UpstreamLoad &load,
+                 const PickQuery &query, const PromptSources &sources) const;
     /// Adds the delay that the prompt of a request causes at an engine.
-    void scorePrompt(const State &state, const PickQuery &query, const PromptSources &sources,
-                     Scored *item) const;
+    void scorePrompt(const State &state, double pace, const PickQuery &query,
+                     const PromptSources &sources, Scored *item) const;
     /// Whether the upstream accepts requests and has not failed this one.
     bool mayServe(const UpstreamRecord &upstream, const PickQuery &query) const;
     /// Scores the candidates that may serve the request, into `scored`.
@@ -168,15 +187,30 @@
     Pick explainNone(const PickQuery &query) const;
     /// Returns a random near-best item of `scored`; null if none has room.
     const Scored *pickNearBest(bool healthyOnly);
+    /// The delay up to which the unseen arrivals fill the items of `nearBest`.
+    double fillLevel(double best) const;
 
     const PickerOptions options;
     EngineEstimates &engineEstimates;
     const Clock &clock;
     std::mt19937_64 random;
     std::map<std::string, State, std::less<>> states;
+    /// Finds the entry of `states` without comparing ids on the way. The address may have been
+    /// reused for another record, so the id is compared.
+    std::unordered_map<const UpstreamRecord *, std::pair<const std::string *, State *>>
+        statesByRecord;
+    std::map<std::string, ServiceTimes, std::less<>> times; ///< By service.
     UpstreamNotices notices;
+    // Scratch buffers of pick().
+    std::vector<const UpstreamRef *> usable; ///< Candidates that may serve the request.
+    std::vector<const State *> usableStates; ///< Of `usable`.
+    std::vector<UpstreamLoad> loads;         ///< Of `usable`.
     std::vector<Scored> scored;
-    std::vector<const Scored *> nearBest;
+    std::vector<Scored *> nearBest;
+    /// Requests that other instances have sent, by expectation, since the reports that `loads`
+    /// rests on.
+    double unseenArrivals = 0;
+    double serviceSeconds = 0; ///< ServiceTimes::answerSeconds of the candidates scored last.
     const UpstreamRef *fetchSource = nullptr; ///< For the candidates scored last.
 };
 
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -6,6 +6,7 @@
 #include <base/Hash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace basilnotch {
@@ -35,38 +36,59 @@
 
 UpstreamPicker::State &UpstreamPicker::state(const UpstreamRecord &upstream)
 {
-    const auto found = this->states.find(upstream.id);
+    auto &[id, state] = this->statesByRecord[&upstream];
+    if (state && *id == upstream.id && state->bornMs == upstream.bornMs) {
+        return *state;
+    }
+    auto found = this->states.find(upstream.id);
     if (found == this->states.end() || found->second.bornMs != upstream.bornMs) {
         State fresh(UpstreamHealth(this->options.health, this->clock));
         fresh.bornMs = upstream.bornMs;
         fresh.backlogKey = PrefillBacklog::engineKey(upstream);
-        return this->states.insert_or_assign(upstream.id, fresh).first->second;
+        found = this->states.insert_or_assign(upstream.id, fresh).first;
     }
-    return found->second;
+    id = &found->first;
+    state = &found->second;
+    return *state;
 }
 
-double UpstreamPicker::load(const State &state, int liveInstances) const
+UpstreamPicker::ServiceTimes &UpstreamPicker::serviceTimes(const UpstreamRecord &upstream)
 {
-    const bool fresh = this->clock.now() - state.sampledAt < this->options.maxSampleAge
-        && state.sampledAt != TimePoint{};
-    if (!fresh) {
-        // Other instances are assumed to send as much as this one.
-        return state.inFlight * std::max(1, liveInstances);
+    const auto found = this->times.find(upstream.service);
+    return found != this->times.end() ? found->second : this->times[upstream.service];
+}
+
+void UpstreamPicker::fade(ServiceTimes &times) const
+{
+    const TimePoint now = this->clock.now();
+    if (times.updatedAt != TimePoint{}) {
+        const double seconds = toSeconds(now - times.updatedAt);
+        const double left = std::exp(-seconds / toSeconds(this->options.holdTimeSmoothing));
+        times.requestSeconds = times.requestSeconds * left + times.inFlight * seconds;
+        times.ended *= left;
     }
-    const int since = state.inFlight - state.inFlightAtSample;
-    return std::max(state.inFlight, state.sample.running + state.sample.waiting + since);
+    times.updatedAt = now;
 }
 
-UpstreamPicker::Scored UpstreamPicker::score(const UpstreamRef &upstream, const PickQuery &query,
-                                             const PromptSources &sources)
+Duration UpstreamPicker::holdTime(const ServiceTimes &times) const
+{
+    return times.ended < 1 ? this->options.initialHoldTime
+                           : fromSeconds(times.requestSeconds / times.ended);
+}
+
+UpstreamPicker::Scored UpstreamPicker::score(const UpstreamRef &upstream, const State &state,
+                                             const UpstreamLoad &load, const PickQuery &query,
+                                             const PromptSources &sources) const
 {
-    const State &state = this->state(*upstream);
-    const double load = this->load(state, query.liveInstances);
     Scored item;
     item.upstream = &upstream;
-    item.ms = inMs(this->options.delayPerRequest) * load;
+    item.msPerRequest = inMs(this->options.delayPerRequest) / load.pace;
+    item.ms = item.msPerRequest * load.requests;
     if (query.isEngine) {
-        this->scorePrompt(state, query, sources, &item);
+        this->scorePrompt(state, load.pace, query, sources, &item);
+    } else {
+        constexpr double kMsPerSecond = 1000;
+        item.ms += std::max(0.0, 1 / load.pace - 1) * this->serviceSeconds * kMsPerSecond;
     }
     if (upstream->failureDomain != this->options.ownDomain) {
         item.ms += inMs(this->options.otherDomainPenalty);
@@ -74,11 +96,11 @@
     item.ms *= 1 + 2 * state.health.smoothedFailureRatio();
     const bool hasProbeInFlight = state.health.isProbing() && state.inFlight > 0;
     item.isHealthy = !state.health.isPaused() && !hasProbeInFlight;
-    item.isFull = load >= std::max(1.0, this->options.maxSlotShare * upstream->slots);
+    item.isFull = load.requests >= std::max(1.0, this->options.maxSlotShare * upstream->slots);
     return item;
 }
 
-void UpstreamPicker::scorePrompt(const State &state, const PickQuery &query,
+void UpstreamPicker::scorePrompt(const State &state, double pace, const PickQuery &query,
                                  const PromptSources &sources, Scored *item) const
 {
     constexpr double kThousand = 1000;
@@ -98,7 +120,7 @@
         item->work += query.sharedWork;
         item->ms += isHome ? 0 : thousands * inMs(this->options.prefillCostPer1000);
     }
-    item->ms += inMs(item->ahead + item->work);
+    item->ms += inMs(item->ahead + item->work) / pace;
 }
 
 const UpstreamRecord *UpstreamPicker::homeEngine(const PickQuery &query)
@@ -130,15 +152,14 @@
     sources.holders =
         this->engineEstimates.cachedPrompts.holders(static_cast<std::uint32_t>(query.affinityKey));
     std::size_t latest = 0;
-    for (const UpstreamRef &candidate : query.candidates) {
-        const State &state = this->state(*candidate);
+    for (std::size_t index = 0; !sources.holders.empty() && index < this->usable.size(); ++index) {
+        const State &state = *this->usableStates[index];
         const auto place =
             std::find(sources.holders.begin(), sources.holders.end(), state.backlogKey);
         const auto rank = static_cast<std::size_t>(place - sources.holders.begin()) + 1;
-        if (place != sources.holders.end() && rank > latest && !state.health.isPaused()
-            && this->mayServe(*candidate, query)) {
+        if (place != sources.holders.end() && rank > latest && !state.health.isPaused()) {
             latest = rank;
-            sources.latest = &candidate;
+            sources.latest = this->usable[index];
         }
     }
     return sources;
@@ -147,34 +168,95 @@
 void UpstreamPicker::scoreAll(const PickQuery &query)
 {
     this->scored.clear();
-    const PromptSources sources = this->findPromptSources(query);
-    this->fetchSource = sources.latest;
+    this->usable.clear();
+    this->usableStates.clear();
+    this->loads.clear();
     for (const UpstreamRef &candidate : query.candidates) {
         if (this->mayServe(*candidate, query)) {
-            this->scored.push_back(this->score(candidate, query, sources));
+            const State &state = this->state(*candidate);
+            this->usable.push_back(&candidate);
+            this->usableStates.push_back(&state);
+            this->loads.push_back({state.backlogKey, candidate->slots});
+        }
+    }
+    if (this->usable.empty()) {
+        return;
+    }
+    const PromptSources sources = this->findPromptSources(query);
+    this->fetchSource = sources.latest;
+    ServiceTimes &times = this->serviceTimes(**this->usable.front());
+    this->fade(times);
+    this->serviceSeconds = times.answerSeconds;
+    this->engineEstimates.load.estimate(this->loads, this->holdTime(times), query.liveInstances);
+    this->unseenArrivals = 0;
+    for (std::size_t index = 0; index < this->usable.size(); ++index) {
+        const UpstreamLoad &load = this->loads[index];
+        this->unseenArrivals += load.unseenArrivals;
+        this->scored.push_back(
+            this->score(*this->usable[index], *this->usableStates[index], load, query, sources));
+    }
+}
+
+double UpstreamPicker::fillLevel(double best) const
+{
+    // Each item takes (level - ms) / msPerRequest of the arrivals. Starts with a level that is too
+    // high and leaves out the items above it until none is left out.
+    double level = std::numeric_limits<double>::infinity();
+    while (true) {
+        double arrivals = this->unseenArrivals;
+        double perMs = 0;
+        double highest = 0;
+        for (const Scored *item : this->nearBest) {
+            if (item->ms < level) {
+                arrivals += item->ms / item->msPerRequest;
+                perMs += 1 / item->msPerRequest;
+                highest = std::max(highest, item->ms);
+            }
+        }
+        if (perMs == 0) {
+            return best;
+        }
+        level = arrivals / perMs;
+        if (highest <= level) {
+            return level;
         }
     }
 }
 
 const UpstreamPicker::Scored *UpstreamPicker::pickNearBest(bool healthyOnly)
 {
-    const auto isUsable = [healthyOnly](const Scored &item) {
-        return !item.isFull && (item.isHealthy || !healthyOnly);
-    };
+    this->nearBest.clear();
     double best = std::numeric_limits<double>::infinity();
-    for (const Scored &item : this->scored) {
-        best = isUsable(item) ? std::min(best, item.ms) : best;
+    for (Scored &item : this->scored) {
+        if (!item.isFull && (item.isHealthy || !healthyOnly)) {
+            this->nearBest.push_back(&item);
+            best = std::min(best, item.ms);
+        }
+    }
+    if (this->nearBest.empty()) {
+        return nullptr;
     }
-    const double limit =
+    const double tolerated =
         best * (1 + this->options.scoreTolerance) + inMs(this->options.scoreToleranceTime);
-    this->nearBest.clear();
-    for (const Scored &item : this->scored) {
-        if (isUsable(item) && item.ms <= limit) {
-            this->nearBest.push_back(&item);
+    const double level = std::max(this->fillLevel(best), tolerated);
+    double sum = 0;
+    for (Scored *item : this->nearBest) {
+        item->weight = std::max(0.0, level - item->ms) / item->msPerRequest;
+        sum += item->weight;
+    }
+    double left = std::uniform_real_distribution<double>(0, sum)(this->random);
+    const Scored *picked = nullptr;
+    for (const Scored *item : this->nearBest) {
+        if (item->weight <= 0) {
+            continue;
+        }
+        picked = item;
+        left -= item->weight;
+        if (left < 0) {
+            break;
         }
     }
-    return this->nearBest.empty() ? nullptr
-                                  : this->nearBest[this->random() % this->nearBest.size()];
+    return picked;
 }
 
 Pick UpstreamPicker::explainNone(const PickQuery &query) const
@@ -212,6 +294,10 @@
 {
     State &state = this->state(upstream);
     ++state.inFlight;
+    this->engineEstimates.load.onSent(state.backlogKey);
+    ServiceTimes &times = this->serviceTimes(upstream);
+    this->fade(times);
+    ++times.inFlight;
     if (work > Duration::zero()) {
         this->engineEstimates.backlog.onSent(state.backlogKey, work);
     }
@@ -228,19 +314,40 @@
 {
     State &state = this->state(upstream);
     state.inFlight = std::max(0, state.inFlight - 1);
+    this->engineEstimates.load.onEnded(state.backlogKey);
+    ServiceTimes &times = this->serviceTimes(upstream);
+    this->fade(times);
+    times.inFlight = std::max(0, times.inFlight - 1);
+    ++times.ended;
     return result && state.health.onResult(*result);
 }
 
 void UpstreamPicker::onLoad(const UpstreamRecord &upstream, const LoadSample &sample)
 {
-    State &state = this->state(upstream);
-    state.sample = sample;
-    state.sampledAt = this->clock.now();
-    state.inFlightAtSample = state.inFlight;
+    this->engineEstimates.load.onSample(this->state(upstream).backlogKey, sample);
+}
+
+void UpstreamPicker::onAnswered(const UpstreamRecord &upstream, Duration took, Duration expected)
+{
+    ServiceTimes &times = this->serviceTimes(upstream);
+    const double fixed = toSeconds(this->options.fixedDelay);
+    const double seconds = toSeconds(took) + fixed;
+    const double smoothing = this->options.serviceTimeSmoothing;
+    times.answerSeconds = times.answerSeconds == 0
+        ? seconds
+        : times.answerSeconds + smoothing * (seconds - times.answerSeconds);
+    const bool hasPrefill = expected > Duration::zero();
+    const double usual = hasPrefill ? toSeconds(expected) + fixed : times.answerSeconds;
+    const double logRatio = std::log(seconds / usual);
+    // Compared with the other upstreams, so an expectation that is wrong for all does no harm.
+    this->engineEstimates.load.onServiceTime(this->state(upstream).backlogKey,
+                                             std::exp(logRatio - times.logRatio));
+    times.logRatio += smoothing * (logRatio - times.logRatio);
 }
 
 void UpstreamPicker::retain(const UpstreamList &list)
 {
+    this->statesByRecord.clear();
     std::erase_if(this->states, [&](const auto &item) {
         return item.second.inFlight == 0 && !list.find(item.first);
     });
