--- a/kernel/tests/UpstreamSchedulerTest.cpp
+++ b/kernel/tests/UpstreamSchedulerTest.cpp
@@ -34,7 +34,7 @@
                                 this->warmup,
                                 this->clock,
                                 1,
-                                {[] {}, [](const PromptCacheUpdate &) {}}};
+                                {[] {}, [] {}, [](const PromptCacheUpdate &) {}}};
     VersionFilter versions;
 
     void setUpstreams(std::vector<UpstreamRef> list)
