The budget of second sends holds for the fleet without talk

Cause: each instance divided the slack by the instances that it sees alive. Both halves of a partition took the whole slack, and so did each of many processes that had just started and knew only themselves.

Change: the share is by all known members, unreachable and leaving ones included, with the largest membership of the window; a process takes no slack in its first window; a purpose (never run, last chance, repeat, second model, hedge) uses the allowance only up to its part, so that the more useful sends find the rest. New metrics members_known and repeats_denied_total.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -84,11 +84,24 @@
     options.ratio = bounds.retryRatio;
     options.slack = bounds.retrySlack;
     options.window = bounds.retryWindow;
+    const TimePoint startedAt =
+        this->context.clock.now() - this->context.control.knowledge().running;
+    options.slackFrom = startedAt + options.window;
     return budgets
         .emplace(this->request.service, SlidingWindowRetryBudget(options, this->context.clock))
         .first->second;
 }
 
+bool RequestForwarder::tryTakeFromBudget(RetryPurpose purpose)
+{
+    const int members = this->context.control.view()->knownInstances;
+    const bool isGranted = this->retryBudget().tryAcquire(purpose, members);
+    if (!isGranted) {
+        this->context.metrics.counter("repeats_denied_total").add();
+    }
+    return isGranted;
+}
+
 const std::string &RequestForwarder::chooseModel()
 {
     if (this->model.empty() && this->request.caller.anyModel
@@ -145,7 +158,7 @@
     if (decision != CascadeDecision::Escalate) {
         return false;
     }
-    const bool isWithinBudget = this->retryBudget().tryAcquire(this->request.view->liveInstances);
+    const bool isWithinBudget = this->tryTakeFromBudget(RetryPurpose::SecondModel);
     if (!isWithinBudget) {
         this->cascadeOutcome = "no budget for a second run";
     }
@@ -267,7 +280,12 @@
         || this->timeLeft() < kMinUsefulTime || this->isQuarantined()) {
         return false;
     }
-    const bool isWithinBudget = this->retryBudget().tryAcquire(this->request.view->liveInstances);
+    const bool isLastChance =
+        this->timeLeft() < (this->request.deadline - this->request.arrivedAt) / 2;
+    const bool isWithinBudget =
+        this->tryTakeFromBudget(outcome == AttemptOutcome::NotExecuted ? RetryPurpose::NeverRun
+                                    : isLastChance                     ? RetryPurpose::LastChance
+                                                                       : RetryPurpose::Repeat);
     this->logEvent(LogKind::Failure, isWithinBudget ? "request repeated" : "repeat denied",
                    this->lastError, 0);
     return isWithinBudget;
--- a/kernel/src/relay/RequestForwarder.h
+++ b/kernel/src/relay/RequestForwarder.h
@@ -115,6 +115,7 @@
     void respondWithError(int status, std::string_view reason);
     void logEvent(LogKind kind, std::string_view event, std::string_view reason, int status) const;
     SlidingWindowRetryBudget &retryBudget();
+    bool tryTakeFromBudget(RetryPurpose purpose);
 
     RelayContext &context;
     AdmittedRequest request;
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -539,6 +539,7 @@
     this->publishedGossipDigest = this->gossip.store().digest();
     this->publishedRolloutRevision = this->rollouts.revision();
     this->metrics.counter("members_reachable").set(next->liveInstances);
+    this->metrics.counter("members_known").set(next->knownInstances);
     this->metrics.counter("configuration_version")
         .set(this->catalog ? this->catalog->version() : 0);
     this->published.set(std::move(next));
@@ -551,7 +552,9 @@
 {
     std::vector<DirectoryEntry> leaving;
     std::vector<std::string> leavingNames;
-    for (const Member &member : readMembers(this->gossip.store())) {
+    const std::vector<Member> members = readMembers(this->gossip.store());
+    next.knownInstances = std::max(1, static_cast<int>(members.size()));
+    for (const Member &member : members) {
         const auto seen = this->loggedMemberStates.find(member.name);
         if (seen == this->loggedMemberStates.end() || seen->second != member.state) {
             this->loggedMemberStates[member.name] = member.state;
--- a/kernel/src/site/SiteView.h
+++ b/kernel/src/site/SiteView.h
@@ -54,7 +54,10 @@
     std::map<std::string, ActiveRollout, std::less<>> rollouts; ///< By service.
     /// Instances that accept requests; if there are none, those that are leaving.
     std::vector<DirectoryEntry> directory;
-    int liveInstances = 1;             ///< Includes this instance.
+    int liveInstances = 1; ///< Includes this instance.
+    /// All that may live, those that this instance can't reach or that are leaving included. Shares
+    /// of bounds that must hold without talk are computed from it.
+    int knownInstances = 1;
     std::optional<ShutdownTimes> stop; ///< Set once this process has been told to stop.
     /// All instances are stopping, and this one is among those that accept requests until they
     /// exit.
--- a/libs/retries/include/retries/SlidingWindowRetryBudget.h
+++ b/libs/retries/include/retries/SlidingWindowRetryBudget.h
@@ -1,5 +1,6 @@
-// Limits retries to a ratio of first attempts in a sliding window. The allowance is divided among
-// the instances without coordination.
+// Limits second sends to a ratio of first ones in a sliding window. The allowance is the fleet's
+// and is divided among its members without talk: the ratio by each member's own first sends, the
+// slack by the membership, unreachable members included.
 #pragma once
 
 #include <base/Clock.h>
@@ -9,25 +10,43 @@
 
 namespace basilnotch {
 
+/// What a second send is for, the most useful first. A purpose may only use the allowance up to its
+/// share (see purposeShare()), so that the ones before it find the rest unused.
+enum class RetryPurpose {
+    NeverRun,    ///< No upstream has run the request.
+    LastChance,  ///< Too little time is left for a later repeat.
+    Repeat,      ///< Any other repeat.
+    SecondModel, ///< The answer of a small model is replaced by that of a large one.
+    Hedge,       ///< The first send is still under way.
+};
+
+/// Share of the allowance from which `purpose` gets nothing more.
+double purposeShare(RetryPurpose purpose);
+
 struct SlidingWindowRetryOptions
 {
-    double ratio = 0.5; ///< Retries per first attempt.
-    double slack = 20;  ///< Retries beyond the ratio, for all instances together.
+    double ratio = 0.5; ///< Second sends per first one.
+    double slack = 20;  ///< Second sends beyond the ratio, for all members together.
     Duration window = std::chrono::seconds(10);
-    /// Share of the allowance that is used, because the windows of the instances aren't aligned.
+    /// Share of the allowance that is used, because the windows of the members aren't aligned.
     double safetyFactor = 0.85;
+    /// Until then this member takes no slack: an earlier process of its name may have used it in
+    /// the window, and a process that has just started does not know how many others there are.
+    TimePoint slackFrom{};
 };
 
-/// For one service. Not thread-safe. Invariant: the retries granted in any window don't exceed
-/// safetyFactor * (ratio * first attempts of this instance + slack / instances).
+/// For one service. Not thread-safe. Invariant: the sends granted in any window don't exceed
+/// safetyFactor * (ratio * first sends of this member + slack / members), with the largest
+/// membership that was given in the window.
 class SlidingWindowRetryBudget
 {
 public:
     SlidingWindowRetryBudget(SlidingWindowRetryOptions options, const Clock &clock);
 
     void onFirstAttempt();
-    /// Takes one retry; returns false if the allowance is exhausted.
-    bool tryAcquire(int liveInstances);
+    /// Takes one send; returns false if the allowance for `purpose` is exhausted. `members`: all
+    /// that may live, this one included.
+    bool tryAcquire(RetryPurpose purpose, int members);
 
 private:
     static constexpr std::size_t kBuckets = 10;
@@ -37,6 +56,7 @@
         std::int64_t number = -1; ///< Time since the clock's epoch, in bucket widths.
         std::int64_t firstAttempts = 0;
         std::int64_t retries = 0;
+        int members = 0; ///< The most that were given.
     };
 
     Bucket &currentBucket();
--- a/libs/retries/src/SlidingWindowRetryBudget.cpp
+++ b/libs/retries/src/SlidingWindowRetryBudget.cpp
@@ -5,6 +5,22 @@
 
 namespace basilnotch {
 
+double purposeShare(RetryPurpose purpose)
+{
+    switch (purpose) {
+    case RetryPurpose::NeverRun:
+    case RetryPurpose::LastChance:
+        break;
+    case RetryPurpose::Repeat:
+        return 0.9;
+    case RetryPurpose::SecondModel:
+        return 0.75;
+    case RetryPurpose::Hedge:
+        return 0.5;
+    }
+    return 1;
+}
+
 SlidingWindowRetryBudget::SlidingWindowRetryBudget(SlidingWindowRetryOptions options,
                                                    const Clock &clock)
     : options(options)
@@ -22,7 +38,7 @@
     const std::int64_t number = this->bucketNumber();
     Bucket &bucket = this->buckets[static_cast<std::size_t>(number) % kBuckets];
     if (bucket.number != number) {
-        bucket = {number, 0, 0};
+        bucket = {.number = number};
     }
     return bucket;
 }
@@ -37,23 +53,31 @@
     ++this->currentBucket().firstAttempts;
 }
 
-bool SlidingWindowRetryBudget::tryAcquire(int liveInstances)
+bool SlidingWindowRetryBudget::tryAcquire(RetryPurpose purpose, int members)
 {
+    Bucket &current = this->currentBucket();
+    current.members = std::max({1, current.members, members});
     std::int64_t firstAttempts = 0;
     std::int64_t retries = 0;
+    int most = 1;
     for (const Bucket &bucket : this->buckets) {
         if (this->isInWindow(bucket)) {
             firstAttempts += bucket.firstAttempts;
             retries += bucket.retries;
+            most = std::max(most, bucket.members);
         }
     }
-    const double share = this->options.slack / std::max(1, liveInstances);
+    const bool hasSlack = this->clock.now() >= this->options.slackFrom;
+    const double slack = hasSlack ? this->options.slack / most : 0;
     const double allowed = this->options.safetyFactor
-        * (this->options.ratio * static_cast<double>(firstAttempts) + share);
-    if (static_cast<double>(retries + 1) > allowed) {
+        * (this->options.ratio * static_cast<double>(firstAttempts) + slack);
+    // The first send of a window is for any purpose: else a small share would serve none.
+    const double limit =
+        retries == 0 && purpose != RetryPurpose::Hedge ? allowed : purposeShare(purpose) * allowed;
+    if (static_cast<double>(retries + 1) > limit) {
         return false;
     }
-    ++this->currentBucket().retries;
+    ++current.retries;
     return true;
 }
 
