--- a/kernel/src/site/SiteView.h
+++ b/kernel/src/site/SiteView.h
@@ -56,7 +56,10 @@
     std::vector<DirectoryEntry> directory;
     /// Names of all instances that have not left, also of those that nobody reaches.
     std::vector<std::string> members;
-    int liveInstances = 1;             ///< Includes this instance.
+    int liveInstances = 1; ///< Includes this instance.
+    /// All that may live, those that this instance can't reach or that are leaving included. Shares
+    /// of bounds that must hold without talk are computed from it.
+    int knownInstances = 1;
     std::optional<ShutdownTimes> stop; ///< Set once this process has been told to stop.
     /// All instances are stopping, and this one is among those that accept requests until they
     /// exit.
