--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -85,9 +85,6 @@
     options.ratio = bounds.retryRatio;
     options.slack = bounds.retrySlack;
     options.window = bounds.retryWindow;
-    const TimePoint startedAt =
-        this->context.clock.now() - this->context.control.knowledge().running;
-    options.slackFrom = startedAt + options.window;
     return budgets
         .emplace(this->request.service, SlidingWindowRetryBudget(options, this->context.clock))
         .first->second;
--- a/libs/retries/src/SlidingWindowRetryBudget.cpp
+++ b/libs/retries/src/SlidingWindowRetryBudget.cpp
@@ -10,11 +10,10 @@
     switch (purpose) {
     case RetryPurpose::NeverRun:
     case RetryPurpose::LastChance:
-        break;
     case RetryPurpose::Repeat:
-        return 0.9;
+        break;
     case RetryPurpose::SecondModel:
-        return 0.75;
+        return 0.95;
     case RetryPurpose::Hedge:
         return 0.5;
     }
@@ -67,10 +66,8 @@
             most = std::max(most, bucket.members);
         }
     }
-    const bool hasSlack = this->clock.now() >= this->options.slackFrom;
-    const double slack = hasSlack ? this->options.slack / most : 0;
     const double allowed = this->options.safetyFactor
-        * (this->options.ratio * static_cast<double>(firstAttempts) + slack);
+        * (this->options.ratio * static_cast<double>(firstAttempts) + this->options.slack / most);
     // The first send of a window is for any purpose: else a small share would serve none.
     const double limit =
         retries == 0 && purpose != RetryPurpose::Hedge ? allowed : purposeShare(purpose) * allowed;
