PeerLink on Asio instead of nng: a closed connection ends nothing but itself

Cause: a call that ran out of time closed its connection (nng_pipe_close) unless something had been answered since it began. nng 1.5.2 may then lose the completion of a receive at the replying side, and the one thread that reaps connections, for all sockets of that process, waits for it for ever: seen in a debugger, the receive of a rep0 pipe, begun and never ended. From then on the process replaces no link. With a record of 300 KB a change on links of 10 Mbit/s every fetch runs out of time, so whole fleets end there ("record not fetched, asked 12, unreachable 12" to the end).

Change: frames on Asio sockets in the fibers of the control thread. A call that runs out of time closes its connection only if not one byte has come since the call began and the connection is not younger; a slow reply is no silence. A request is sent again on the next connection within its time, as before.

--- a/kernel/src/control/PeerMessenger.cpp
+++ b/kernel/src/control/PeerMessenger.cpp
@@ -24,6 +24,7 @@
     , gossip(gossip)
     , server(runtime, settings.peerListen,
              [this](std::string message) { return this->handleMessage(std::move(message)); })
+    , client(runtime)
     , bytesSent(metrics.counter("peer_bytes_sent_total"))
     , bytesReceived(metrics.counter("peer_bytes_received_total"))
     , failures(metrics.counter("peer_failures_total"))
--- a/kernel/src/control/PeerMessenger.h
+++ b/kernel/src/control/PeerMessenger.h
@@ -1,4 +1,4 @@
-// Exchanges messages (gossip, receipt copies, rules, records) with other instances over nng.
+// Exchanges messages (gossip, receipt copies, rules, records) with other instances.
 #pragma once
 
 #include <membership/Gossip.h>
--- a/libs/membership/include/membership/Gossip.h
+++ b/libs/membership/include/membership/Gossip.h
@@ -1,6 +1,6 @@
 // Who talks to whom and what is said: push-pull exchanges with random members, suspicion after a
 // failed direct and indirect try, and repair of what was missed. No sockets: the owner carries
-// messages, on nng in the product and in memory in tests.
+// messages, on PeerLink in the product and in memory in tests.
 #pragma once
 
 #include <base/Clock.h>
--- a/libs/runtime/include/runtime/PeerLink.h
+++ b/libs/runtime/include/runtime/PeerLink.h
@@ -1,4 +1,4 @@
-// Request and reply between the system's own processes over nng.
+// Request and reply between the system's own processes, over one TCP connection to each peer.
 #pragma once
 
 #include <base/Clock.h>
@@ -27,25 +27,26 @@
 
 private:
     struct Impl;
-    std::unique_ptr<Impl> impl;
+    std::shared_ptr<Impl> impl; ///< Shared with the fibers of its connections.
 };
 
 /// Sends requests to other instances. One object serves all fibers of its runtime's thread.
 class PeerClient
 {
 public:
-    PeerClient();
+    explicit PeerClient(FiberRuntime &runtime);
     ~PeerClient();
     PeerClient(const PeerClient &) = delete;
     PeerClient &operator=(const PeerClient &) = delete;
 
-    /// Suspends the calling fiber until the peer's reply or the timeout.
+    /// Suspends the calling fiber until the peer's reply or the timeout. Until then a request whose
+    /// connection ends is sent again on the next one: the peer may handle it twice.
     absl::StatusOr<std::string> call(const Endpoint &peer, std::string_view message,
                                      Duration timeout);
 
 private:
     struct Impl;
-    std::unique_ptr<Impl> impl;
+    std::shared_ptr<Impl> impl; ///< Shared with the fibers of its links.
 };
 
 } // namespace basilnotch
--- a/libs/runtime/src/PeerLink.cpp
+++ b/libs/runtime/src/PeerLink.cpp
@@ -1,271 +1,415 @@
-// nng completes on threads of its own; each completion is handed to the fiber that waits for it.
+// Frames on one TCP connection to each peer: length, id of the call, body; a reply bears the id of
+// its request. A connection that is closed, by whichever side and at whatever moment, only ends its
+// own fibers.
 #include <runtime/PeerLink.h>
 
+#include "AwaitIo.h"
+#include "SocketOptions.h"
+
+#include <runtime/FiberEvent.h>
 #include <runtime/FiberRuntime.h>
 
-#include <boost/fiber/future.hpp>
-#include <nng/nng.h>
-#include <nng/protocol/reqrep0/rep.h>
-#include <nng/protocol/reqrep0/req.h>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/endian/conversion.hpp>
 
-#include <atomic>
+#include <array>
+#include <deque>
 #include <map>
-#include <vector>
+#include <optional>
+#include <set>
+#include <utility>
 
 namespace basilnotch {
 
 namespace {
 
-constexpr int kServerContexts = 32; // Requests of peers that are answered at once.
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
 constexpr std::size_t kMaxMessageBytes = 8 * 1024 * 1024;
+/// Of a peer that does not read what it has asked for.
+constexpr std::size_t kMaxQueuedBytes = 2 * kMaxMessageBytes;
+constexpr int kMaxHandledAtOnce = 64; ///< Requests of peers; more of them wait unread.
+constexpr Duration kConnectTimeout = milliseconds(400);
+constexpr Duration kMinRedialDelay = milliseconds(50);
+constexpr Duration kMaxRedialDelay = milliseconds(400);
+constexpr std::size_t kHeaderBytes = 12; // Length of the body, id of the call.
+constexpr std::size_t kLengthBytes = 4;
 
-std::string url(const Endpoint &endpoint)
+struct Frame
 {
-    return "tcp://" + endpoint.text();
-}
+    std::uint64_t id = 0;
+    std::string body;
+};
 
-absl::Status nngFailure(std::string_view step, const Endpoint &peer, int code)
+std::string encodeFrame(std::uint64_t id, std::string_view body)
 {
-    const absl::StatusCode status = code == NNG_ETIMEDOUT ? absl::StatusCode::kDeadlineExceeded
-                                                          : absl::StatusCode::kUnavailable;
-    return failure(status, step, peer.text(), nng_strerror(code));
+    std::string bytes(kHeaderBytes, '\0');
+    auto *header = reinterpret_cast<unsigned char *>(bytes.data());
+    boost::endian::store_big_u32(header, static_cast<std::uint32_t>(body.size()));
+    boost::endian::store_big_u64(header + kLengthBytes, id);
+    bytes.append(body);
+    return bytes;
 }
 
-nng_duration inMillis(Duration value)
+/// A connection that one fiber reads and any fiber may write to. Shared with its fibers.
+class Connection : public std::enable_shared_from_this<Connection>
 {
-    return static_cast<nng_duration>(std::chrono::duration_cast<milliseconds>(value).count());
-}
+public:
+    Connection(FiberRuntime &runtime, beast::tcp_stream stream)
+        : runtime(runtime)
+        , stream(std::move(stream))
+        , heard(SystemClock().now())
+    {
+        this->stream.expires_never();
+        tuneSocket(this->stream.socket());
+    }
 
-std::string takeBody(nng_aio *aio)
-{
-    nng_msg *message = nng_aio_get_msg(aio);
-    std::string body(static_cast<const char *>(nng_msg_body(message)), nng_msg_len(message));
-    nng_msg_free(message);
-    return body;
-}
+    /// The next frame; empty when the connection has ended.
+    std::optional<Frame> read()
+    {
+        std::array<char, kHeaderBytes> header{};
+        if (!this->readInto(header.data(), header.size())) {
+            return std::nullopt;
+        }
+        const auto *bytes = reinterpret_cast<const unsigned char *>(header.data());
+        const std::size_t size = boost::endian::load_big_u32(bytes);
+        if (size > kMaxMessageBytes) {
+            this->close();
+            return std::nullopt;
+        }
+        Frame frame{boost::endian::load_big_u64(bytes + kLengthBytes), {}};
+        // Grows with the bytes that arrive, so that a length alone costs no memory.
+        constexpr std::size_t kPart = 64 * 1024;
+        while (frame.body.size() < size) {
+            const std::size_t from = frame.body.size();
+            const std::size_t part = std::min(kPart, size - from);
+            frame.body.resize(from + part);
+            if (!this->readInto(frame.body.data() + from, part)) {
+                return std::nullopt;
+            }
+        }
+        return frame;
+    }
+
+    /// Queues a frame; does not suspend.
+    void send(std::uint64_t id, std::string_view body)
+    {
+        if (this->isClosed) {
+            return;
+        }
+        this->queue.push_back(encodeFrame(id, body));
+        this->queuedBytes += this->queue.back().size();
+        if (this->queuedBytes > kMaxQueuedBytes) {
+            this->close();
+        } else if (!std::exchange(this->isWriting, true)) {
+            this->runtime.spawn([self = this->shared_from_this()] { self->writeQueue(); });
+        }
+    }
+
+    void close()
+    {
+        this->isClosed = true;
+        this->stream.close();
+    }
+    /// When the latest byte arrived, or the connection was made.
+    TimePoint heardAt() const { return this->heard; }
+
+private:
+    bool readInto(char *to, std::size_t size)
+    {
+        std::size_t done = 0;
+        while (done < size && !this->isClosed) {
+            const IoResult result = awaitIo([&](auto handler) {
+                this->stream.async_read_some(asio::buffer(to + done, size - done),
+                                             std::move(handler));
+            });
+            if (result.error) {
+                this->close();
+                return false;
+            }
+            this->heard = SystemClock().now();
+            done += result.bytes;
+        }
+        return done == size;
+    }
+
+    void writeQueue()
+    {
+        while (!this->queue.empty() && !this->isClosed) {
+            const std::string bytes = std::move(this->queue.front());
+            this->queue.pop_front();
+            const IoResult result = awaitIo([&](auto handler) {
+                asio::async_write(this->stream, asio::buffer(bytes), std::move(handler));
+            });
+            this->queuedBytes -= bytes.size();
+            if (result.error) {
+                this->close();
+            }
+        }
+        this->isWriting = false;
+    }
+
+    FiberRuntime &runtime;
+    beast::tcp_stream stream;
+    std::deque<std::string> queue; ///< Frames that wait to be written.
+    std::size_t queuedBytes = 0;   ///< Of these and of the one being written.
+    bool isWriting = false;        ///< There is a fiber for the queue.
+    bool isClosed = false;
+    TimePoint heard;
+};
 
-nng_msg *makeMessage(std::string_view body)
+absl::StatusOr<tcp::endpoint> resolve(const Endpoint &endpoint)
 {
-    nng_msg *message = nullptr;
-    nng_msg_alloc(&message, 0);
-    nng_msg_append(message, body.data(), body.size());
-    return message;
+    error_code error;
+    const asio::ip::address address = asio::ip::make_address(endpoint.address, error);
+    if (error) {
+        return failure(absl::StatusCode::kInvalidArgument, "read address", endpoint.text(),
+                       error.message());
+    }
+    return tcp::endpoint(address, endpoint.port);
 }
 
 } // namespace
 
-struct PeerServer::Impl
+struct PeerServer::Impl : std::enable_shared_from_this<PeerServer::Impl>
 {
-    /// One request at a time: receive, run the handler, send the reply, and again.
-    struct Worker
-    {
-        Impl *owner = nullptr;
-        nng_ctx context{};
-        nng_aio *aio = nullptr;
-        bool sending = false;
-    };
+    Impl(FiberRuntime &runtime, Endpoint listen, Handler handler)
+        : runtime(runtime)
+        , listen(std::move(listen))
+        , handler(std::move(handler))
+        , acceptor(runtime.context())
+    { }
 
-    static void completed(void *argument)
+    void acceptLoop()
     {
-        auto *worker = static_cast<Worker *>(argument);
-        const int result = nng_aio_result(worker->aio);
-        if (result == NNG_ECLOSED || result == NNG_ECANCELED) {
-            return;
-        }
-        if (result != 0 || worker->sending) {
-            if (result != 0 && worker->sending) {
-                nng_msg_free(nng_aio_get_msg(worker->aio));
+        constexpr Duration kPause = milliseconds(20); // Out of descriptors: let some close.
+        while (!this->isStopping) {
+            tcp::socket socket(this->runtime.context());
+            const IoResult result = awaitIo(
+                [&](auto handler) { this->acceptor.async_accept(socket, std::move(handler)); });
+            if (this->isStopping) {
+                return;
             }
-            receive(*worker);
-            return;
+            if (result.error) {
+                this->runtime.sleepFor(kPause);
+                continue;
+            }
+            const auto connection =
+                std::make_shared<Connection>(this->runtime, beast::tcp_stream(std::move(socket)));
+            this->connections.insert(connection);
+            this->runtime.spawn([self = this->shared_from_this(), connection] {
+                self->serve(connection);
+                self->connections.erase(connection);
+            });
         }
-        std::string body = takeBody(worker->aio);
-        worker->owner->runtime.post([worker, body = std::move(body)]() mutable {
-            const std::string reply = worker->owner->handler(std::move(body));
-            worker->sending = true;
-            nng_aio_set_msg(worker->aio, makeMessage(reply));
-            nng_ctx_send(worker->context, worker->aio);
-        });
     }
 
-    static void receive(Worker &worker)
+    void serve(const std::shared_ptr<Connection> &connection)
     {
-        worker.sending = false;
-        nng_ctx_recv(worker.context, worker.aio);
+        while (std::optional<Frame> request = connection->read()) {
+            while (this->handled >= kMaxHandledAtOnce) {
+                this->slotFreed.reset();
+                (void)this->slotFreed.waitFor(seconds(1));
+            }
+            if (this->isStopping) {
+                return;
+            }
+            ++this->handled;
+            this->runtime.spawn(
+                [self = this->shared_from_this(), connection, request = *std::move(request)] {
+                    if (!self->isStopping) {
+                        connection->send(request.id, self->handler(request.body));
+                    }
+                    --self->handled;
+                    self->slotFreed.set();
+                });
+        }
     }
 
     FiberRuntime &runtime;
-    Endpoint listen;
-    Handler handler;
-    nng_socket socket{};
-    std::vector<std::unique_ptr<Worker>> workers;
+    const Endpoint listen;
+    const Handler handler;
+    tcp::acceptor acceptor;
+    std::set<std::shared_ptr<Connection>> connections;
+    int handled = 0; ///< Requests under way.
+    FiberEvent slotFreed;
+    bool isStopping = false;
 };
 
 PeerServer::PeerServer(FiberRuntime &runtime, Endpoint listen, Handler handler)
-    : impl(new Impl{runtime, std::move(listen), std::move(handler)})
+    : impl(std::make_shared<Impl>(runtime, std::move(listen), std::move(handler)))
 { }
 
 PeerServer::~PeerServer()
 {
-    nng_close(this->impl->socket);
-    for (const auto &worker : this->impl->workers) {
-        nng_aio_stop(worker->aio);
-        nng_aio_free(worker->aio);
+    this->impl->isStopping = true;
+    error_code ignored;
+    this->impl->acceptor.close(ignored);
+    for (const auto &connection : this->impl->connections) {
+        connection->close();
     }
 }
 
 absl::Status PeerServer::start()
 {
     Impl &impl = *this->impl;
-    int code = nng_rep0_open(&impl.socket);
-    if (code == 0) {
-        nng_socket_set_size(impl.socket, NNG_OPT_RECVMAXSZ, kMaxMessageBytes);
-        code = nng_listen(impl.socket, url(impl.listen).c_str(), nullptr, 0);
+    const absl::StatusOr<tcp::endpoint> endpoint = resolve(impl.listen);
+    if (!endpoint.ok()) {
+        return endpoint.status();
+    }
+    error_code error;
+    impl.acceptor.open(endpoint->protocol(), error);
+    if (!error) {
+        impl.acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        impl.acceptor.bind(*endpoint, error);
     }
-    if (code != 0) {
-        return nngFailure("listen for peers", impl.listen, code);
+    if (!error) {
+        impl.acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
-    for (int index = 0; index < kServerContexts; ++index) {
-        auto worker = std::make_unique<Impl::Worker>();
-        worker->owner = &impl;
-        nng_aio_alloc(&worker->aio, &Impl::completed, worker.get());
-        nng_ctx_open(&worker->context, impl.socket);
-        Impl::receive(*worker);
-        impl.workers.push_back(std::move(worker));
+    if (error) {
+        return failure(absl::StatusCode::kUnavailable, "listen for peers", impl.listen.text(),
+                       error.message());
     }
+    impl.runtime.post([shared = this->impl] { shared->acceptLoop(); });
     return absl::OkStatus();
 }
 
-struct PeerClient::Impl
+struct PeerClient::Impl : std::enable_shared_from_this<PeerClient::Impl>
 {
-    /// One request under way; lives until its completion has run.
+    explicit Impl(FiberRuntime &runtime)
+        : runtime(runtime)
+    { }
+
     struct Call
     {
-        nng_ctx context{};
-        nng_aio *aio = nullptr;
-        bool receiving = false;
-        boost::fibers::promise<int> done;
-
-        ~Call()
-        {
-            nng_aio_free(this->aio);
-            nng_ctx_close(this->context);
-        }
+        std::string message;
+        std::optional<std::string> reply;
+        FiberEvent ended; ///< Set with the reply.
     };
 
-    static void completed(void *argument)
+    /// The calls to one peer, and the connection that carries them.
+    struct Link
     {
-        auto *call = static_cast<Call *>(argument);
-        const int result = nng_aio_result(call->aio);
-        if (result != 0) {
-            if (!call->receiving) {
-                nng_msg_free(nng_aio_get_msg(call->aio));
-            }
-            call->done.set_value(result);
-        } else if (call->receiving) {
-            call->done.set_value(0);
-        } else {
-            call->receiving = true;
-            nng_ctx_recv(call->context, call->aio);
+        Endpoint peer;
+        std::map<std::uint64_t, std::shared_ptr<Call>> pending; ///< By id.
+        std::shared_ptr<Connection> connection;                 ///< Null while there is none.
+        bool isRunning = false;                                 ///< There is a fiber for it.
+    };
+
+    std::shared_ptr<Link> linkTo(const Endpoint &peer)
+    {
+        auto &link = this->links[peer.text()];
+        if (!link) {
+            link = std::make_shared<Link>();
+            link->peer = peer;
         }
+        return link;
     }
 
-    /// A socket to one peer.
-    struct Link
+    std::shared_ptr<Connection> connect(const Endpoint &peer)
     {
-        nng_socket socket{};
-        std::atomic<std::uint32_t> pipe{0}; ///< Id of its connection; 0 when there is none.
-        TimePoint answeredAt{};             ///< Of the latest reply.
-
-        /// nng calls this on a thread of its own.
-        static void pipeChanged(nng_pipe pipe, nng_pipe_ev event, void *argument)
-        {
-            auto *link = static_cast<Link *>(argument);
-            std::uint32_t id = pipe.id;
-            if (event == NNG_PIPE_EV_ADD_POST) {
-                link->pipe = id;
-            } else {
-                link->pipe.compare_exchange_strong(id, 0);
-            }
-        }
-        /// Records the end of a call that began at `beganAt`. A connection that has answered
-        /// nothing since then is closed, as it may never answer again; nng makes a new one and
-        /// sends the requests under way again.
-        void onCallEnded(TimePoint beganAt, int result)
-        {
-            if (result == 0) {
-                this->answeredAt = SystemClock().now();
-            } else if (result == NNG_ETIMEDOUT && this->answeredAt < beganAt) {
-                nng_pipe silent{};
-                silent.id = this->pipe;
-                nng_pipe_close(silent);
-            }
+        const absl::StatusOr<tcp::endpoint> endpoint = resolve(peer);
+        if (!endpoint.ok()) {
+            return nullptr;
         }
-    };
+        beast::tcp_stream stream(this->runtime.context());
+        stream.expires_after(
+            std::chrono::duration_cast<std::chrono::steady_clock::duration>(kConnectTimeout));
+        const IoResult result =
+            awaitIo([&](auto handler) { stream.async_connect(*endpoint, std::move(handler)); });
+        return result.error ? nullptr
+                            : std::make_shared<Connection>(this->runtime, std::move(stream));
+    }
 
-    Link *linkTo(const Endpoint &peer)
+    /// Keeps a connection while it lives, and makes one while calls are pending.
+    void run(Link &link)
     {
-        const std::string name = peer.text();
-        auto found = this->links.find(name);
-        if (found != this->links.end()) {
-            return found->second.get();
-        }
-        nng_socket socket{};
-        if (nng_req0_open(&socket) != 0) {
-            return nullptr;
+        Duration redialDelay = kMinRedialDelay;
+        while (!this->isStopping && !link.pending.empty()) {
+            const std::shared_ptr<Connection> connection = this->connect(link.peer);
+            if (!connection) {
+                this->runtime.sleepFor(redialDelay);
+                redialDelay = std::min(2 * redialDelay, kMaxRedialDelay);
+                continue;
+            }
+            redialDelay = kMinRedialDelay;
+            link.connection = connection;
+            for (const auto &[id, call] : link.pending) {
+                connection->send(id, call->message);
+            }
+            while (std::optional<Frame> reply = connection->read()) {
+                const auto found = link.pending.find(reply->id);
+                if (found != link.pending.end()) {
+                    found->second->reply = std::move(reply->body);
+                    found->second->ended.set();
+                    link.pending.erase(found);
+                }
+            }
+            link.connection.reset();
         }
-        constexpr nng_duration kRedialMin = 50;  // Milliseconds.
-        constexpr nng_duration kRedialMax = 500; // Milliseconds.
-        nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, kMaxMessageBytes);
-        nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, kRedialMin);
-        nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, kRedialMax);
-        Link *link = this->links.emplace(name, std::make_unique<Link>()).first->second.get();
-        link->socket = socket;
-        nng_pipe_notify(socket, NNG_PIPE_EV_ADD_POST, &Link::pipeChanged, link);
-        nng_pipe_notify(socket, NNG_PIPE_EV_REM_POST, &Link::pipeChanged, link);
-        nng_dial(socket, url(peer).c_str(), nullptr, NNG_FLAG_NONBLOCK);
-        return link;
+        link.isRunning = false;
     }
 
-    std::map<std::string, std::unique_ptr<Link>, std::less<>> links; ///< By the peer's address.
+    FiberRuntime &runtime;
+    std::map<std::string, std::shared_ptr<Link>, std::less<>> links; ///< By the peer's address.
+    std::uint64_t lastId = 0;
+    bool isStopping = false;
 };
 
-PeerClient::PeerClient()
-    : impl(std::make_unique<Impl>())
+PeerClient::PeerClient(FiberRuntime &runtime)
+    : impl(std::make_shared<Impl>(runtime))
 { }
 
 PeerClient::~PeerClient()
 {
+    this->impl->isStopping = true;
     for (const auto &[name, link] : this->impl->links) {
-        nng_close(link->socket);
+        if (link->connection) {
+            link->connection->close();
+        }
     }
 }
 
 absl::StatusOr<std::string> PeerClient::call(const Endpoint &peer, std::string_view message,
                                              Duration timeout)
 {
-    Impl::Link *link = this->impl->linkTo(peer);
-    if (!link) {
-        return nngFailure("open socket", peer, NNG_ENOMEM);
+    if (message.size() > kMaxMessageBytes) {
+        return failure(absl::StatusCode::kInvalidArgument, "call", peer.text(),
+                       "the message is too long");
     }
+    const std::shared_ptr<Impl> impl = this->impl;
+    const std::shared_ptr<Impl::Link> link = impl->linkTo(peer);
     const TimePoint beganAt = SystemClock().now();
-    Impl::Call call;
-    const int opened = nng_ctx_open(&call.context, link->socket);
-    if (opened != 0) {
-        return nngFailure("open context", peer, opened);
+    const auto call = std::make_shared<Impl::Call>();
+    call->message = std::string(message);
+    const std::uint64_t id = ++impl->lastId;
+    link->pending.emplace(id, call);
+    if (link->connection) {
+        link->connection->send(id, call->message);
+    } else if (!std::exchange(link->isRunning, true)) {
+        impl->runtime.spawn([impl, link] { impl->run(*link); });
+    }
+    (void)call->ended.waitFor(timeout);
+    if (call->reply) {
+        return *std::move(call->reply);
     }
-    nng_aio_alloc(&call.aio, &Impl::completed, &call);
-    nng_aio_set_timeout(call.aio, inMillis(timeout));
-    nng_aio_set_msg(call.aio, makeMessage(message));
-    auto done = call.done.get_future();
-    nng_ctx_send(call.context, call.aio);
-    const int result = done.get();
-    nng_aio_wait(call.aio); // The callback may still be on its last instruction.
-    link->onCallEnded(beganAt, result);
-    if (result != 0) {
-        return nngFailure("call", peer, result);
+    link->pending.erase(id);
+    // A connection that has not carried a byte to here for the time of the call may never carry one
+    // again. One that is slow, or younger than the call, is left alone: to close it would fail the
+    // other calls as well.
+    if (link->connection && link->connection->heardAt() <= beganAt) {
+        link->connection->close();
     }
-    return takeBody(call.aio);
+    return failure(absl::StatusCode::kDeadlineExceeded, "call", link->peer.text(),
+                   "no reply in time");
 }
 
 } // namespace basilnotch
--- a/libs/runtime/tests/HttpTest.cpp
+++ b/libs/runtime/tests/HttpTest.cpp
@@ -231,7 +231,7 @@
                           [](std::string text) { return text + "!"; });
         REQUIRE(server.start().ok());
         runtime.post([&] {
-            PeerClient client;
+            PeerClient client(runtime);
             const auto reply = client.call({"127.0.0.1", kPort + 5}, "hello", seconds(2));
             REQUIRE(reply.ok());
             CHECK(*reply == "hello!");
--- a/tests/failure/PeerLinkTest.cpp
+++ b/tests/failure/PeerLinkTest.cpp
@@ -29,7 +29,7 @@
         REQUIRE(server.start().ok());
         CuttingRelay relay(runtime, relayed, target);
         REQUIRE(relay.start());
-        PeerClient client;
+        PeerClient client(runtime);
         REQUIRE(client.call(relayed, "first", seconds(2)).ok());
         relay.muteOpenConnections();
         CHECK_FALSE(client.call(relayed, "lost", kTimeout).ok());
