Retry budget: an instance that knows its membership has its slack at once

Now the slack is withheld only while other members are expected and none has been heard of, for one second at most. site_reset, site_repeat, site_stream, site_once and test_retries pass.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -47,6 +47,8 @@
 constexpr char kQuarantined[] = "it crashes the upstreams that run it";
 /// Events per sample of a stream's rate: about one second's worth.
 constexpr std::int64_t kEventsPerRateSample = 6;
+/// An instance that has heard of no other one for so long since its start is alone.
+constexpr Duration kAloneTime = milliseconds(1000);
 /// Retry time of a rejected request if the scheduler gives none; assumes a short-lived shortage.
 constexpr Duration kDefaultRetryAfter = milliseconds(250);
 
@@ -84,9 +86,6 @@
     options.ratio = bounds.retryRatio;
     options.slack = bounds.retrySlack;
     options.window = bounds.retryWindow;
-    const TimePoint startedAt =
-        this->context.clock.now() - this->context.control.knowledge().running;
-    options.slackFrom = startedAt + options.window;
     return budgets
         .emplace(this->request.service, SlidingWindowRetryBudget(options, this->context.clock))
         .first->second;
@@ -94,7 +93,10 @@
 
 bool RequestForwarder::tryTakeFromBudget(RetryPurpose purpose)
 {
-    const int members = this->context.control.view()->knownInstances;
+    int members = this->context.control.view()->knownInstances;
+    if (members == 0 && this->context.control.knowledge().running >= kAloneTime) {
+        members = 1;
+    }
     const bool isGranted = this->retryBudget().tryAcquire(purpose, members);
     if (!isGranted) {
         this->context.metrics.counter("repeats_denied_total").add();
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -11,6 +11,8 @@
 #include <absl/strings/str_cat.h>
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace basilnotch {
 
 namespace {
@@ -553,7 +555,12 @@
     std::vector<DirectoryEntry> leaving;
     std::vector<std::string> leavingNames;
     const std::vector<Member> members = readMembers(this->gossip.store());
-    next.knownInstances = std::max(1, static_cast<int>(members.size()));
+    const bool isOnlySelf = members.size() <= 1;
+    const bool hasOthers =
+        std::any_of(this->settings.seeds.begin(), this->settings.seeds.end(),
+                    [this](const Endpoint &seed) { return seed != this->settings.peers; });
+    next.knownInstances =
+        isOnlySelf && hasOthers ? 0 : std::max(1, static_cast<int>(members.size()));
     for (const Member &member : members) {
         const auto seen = this->loggedMemberStates.find(member.name);
         if (seen == this->loggedMemberStates.end() || seen->second != member.state) {
--- a/kernel/src/site/SiteView.h
+++ b/kernel/src/site/SiteView.h
@@ -56,7 +56,8 @@
     std::vector<DirectoryEntry> directory;
     int liveInstances = 1; ///< Includes this instance.
     /// All that may live, those that this instance can't reach or that are leaving included. Shares
-    /// of bounds that must hold without talk are computed from it.
+    /// of bounds that must hold without talk are computed from it. 0: others are expected, and none
+    /// has been heard of yet.
     int knownInstances = 1;
     std::optional<ShutdownTimes> stop; ///< Set once this process has been told to stop.
     /// All instances are stopping, and this one is among those that accept requests until they
--- a/libs/retries/include/retries/SlidingWindowRetryBudget.h
+++ b/libs/retries/include/retries/SlidingWindowRetryBudget.h
@@ -30,9 +30,6 @@
     Duration window = std::chrono::seconds(10);
     /// Share of the allowance that is used, because the windows of the members aren't aligned.
     double safetyFactor = 0.85;
-    /// Until then this member takes no slack: an earlier process of its name may have used it in
-    /// the window, and a process that has just started does not know how many others there are.
-    TimePoint slackFrom{};
 };
 
 /// For one service. Not thread-safe. Invariant: the sends granted in any window don't exceed
@@ -45,7 +42,7 @@
 
     void onFirstAttempt();
     /// Takes one send; returns false if the allowance for `purpose` is exhausted. `members`: all
-    /// that may live, this one included.
+    /// that may live, this one included; 0: not known yet, so that there is no share of the slack.
     bool tryAcquire(RetryPurpose purpose, int members);
 
 private:
--- a/libs/retries/src/SlidingWindowRetryBudget.cpp
+++ b/libs/retries/src/SlidingWindowRetryBudget.cpp
@@ -67,8 +67,7 @@
             most = std::max(most, bucket.members);
         }
     }
-    const bool hasSlack = this->clock.now() >= this->options.slackFrom;
-    const double slack = hasSlack ? this->options.slack / most : 0;
+    const double slack = members > 0 ? this->options.slack / most : 0;
     const double allowed = this->options.safetyFactor
         * (this->options.ratio * static_cast<double>(firstAttempts) + slack);
     // The first send of a window is for any purpose: else a small share would serve none.
