Hedged requests: a late first send gets a second one, the first answer is delivered

RequestForwarder sends a request that may be repeated to a second upstream when the first send is later than HedgePolicy says, within the operator's share ("hedging": {"extraShare": 0.02}, 0 to 0.2, off without it) and the shared budget. HedgedSend runs both, takes the first answer that begins and withdraws the other send at once. Upstreams of another failure domain with less load are preferred; none while requests wait for a slot. Both sends count against the route's attempts; a withdrawn one counts as slower in the statistics of a roll-out.

--- a/kernel/src/relay/RelayContext.h
+++ b/kernel/src/relay/RelayContext.h
@@ -9,6 +9,7 @@
 #include <decision/RequestQuarantine.h>
 #include <decision/RolloutInitialQuota.h>
 #include <kernel/Site.h>
+#include <retries/HedgePolicy.h>
 #include <retries/SlidingWindowRetryBudget.h>
 #include <runtime/HttpClient.h>
 #include <telemetry/EventLog.h>
@@ -45,6 +46,7 @@
     AnswerCascade &cascade;
     PrefillTimeEstimator &prefillTimes;
     std::map<std::string, SlidingWindowRetryBudget> &retryBudgets; ///< By service.
+    std::map<std::string, HedgePolicy> &hedgePolicies;             ///< By service.
     RolloutInitialQuota &initialQuota;
     /// Requests under way whose prompts have shared parts.
     std::set<RequestForwarder *> &activePrompts;
--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -49,6 +49,8 @@
 constexpr std::int64_t kEventsPerRateSample = 6;
 /// An instance that has heard of no other one for so long since its start is alone.
 constexpr Duration kAloneTime = milliseconds(1000);
+/// The delay of a hedge when that of the route is not known yet: longer than any request.
+constexpr Duration kNoHedge = std::chrono::hours(1);
 /// Retry time of a rejected request if the scheduler gives none; assumes a short-lived shortage.
 constexpr Duration kDefaultRetryAfter = milliseconds(250);
 
@@ -232,7 +234,7 @@
             this->failRequest(kQuarantined);
             return;
         }
-        const AttemptOutcome outcome = this->attempt(*acquired.lease);
+        const AttemptOutcome outcome = this->attempt(acquired.lease);
         this->currentAttempt = nullptr;
         if (outcome == AttemptOutcome::Finished) {
             return;
@@ -255,6 +257,9 @@
 {
     this->queueCancelled.set();
     this->canceller.cancel();
+    if (this->hedgedSend) {
+        this->hedgedSend->cancel();
+    }
     if (this->currentResponse) {
         this->currentResponse->close();
     }
@@ -310,9 +315,8 @@
     return current && current->state == UpstreamState::Ready;
 }
 
-RequestForwarder::AttemptOutcome RequestForwarder::attempt(UpstreamLease &lease)
+RequestForwarder::Attempt RequestForwarder::makeAttempt(UpstreamLease &lease)
 {
-    const UpstreamRecord &upstream = lease.upstream();
     Attempt attempt{lease, this->context.clock.now(), this->chooseModel()};
     attempt.promptChains = this->context.promptQuarantine.chains(this->request.sharedPromptParts);
     attempt.eventsBefore = this->stream.events();
@@ -320,8 +324,17 @@
     const auto rollout = view->rollouts.find(this->request.service);
     if (rollout != view->rollouts.end()) {
         attempt.isRolloutActive = true;
-        attempt.isNewVersion = upstream.softwareVersion == rollout->second.state.toVersion;
+        attempt.isNewVersion = lease.upstream().softwareVersion == rollout->second.state.toVersion;
     }
+    ++this->connectAttempts;
+    this->executionTracker.onSend();
+    return attempt;
+}
+
+HedgedSend::Answer RequestForwarder::open(const Attempt &attempt, CallCanceller &sendCanceller)
+{
+    const UpstreamLease &lease = attempt.lease;
+    const UpstreamRecord &upstream = lease.upstream();
     ForwardOptions forwardOptions;
     forwardOptions.upstreamId = upstream.id;
     forwardOptions.timeLeft = this->timeLeft();
@@ -342,24 +355,30 @@
     options.isStillWanted = [this, &upstream] {
         return !this->isWithdrawn && !this->exchange.callerGone() && this->isInUse(upstream);
     };
-    ++this->connectAttempts;
-    this->currentAttempt = &attempt;
-    this->executionTracker.onSend();
-    const absl::StatusOr<std::unique_ptr<HttpStream>> answer = this->context.client.open(
+    return this->context.client.open(
         upstream.endpoint,
         this->context.requestCodec.toUpstreamRequest(*this->request.http, forwardOptions), options,
-        &this->canceller);
+        &sendCanceller);
+}
+
+RequestForwarder::AttemptOutcome RequestForwarder::attempt(std::unique_ptr<UpstreamLease> &lease)
+{
+    Attempt attempt = this->makeAttempt(*lease);
+    this->currentAttempt = &attempt;
+    if (this->mayHedge()) {
+        return this->attemptHedged(lease, attempt);
+    }
+    return this->continueAttempt(attempt, this->open(attempt, this->canceller));
+}
+
+RequestForwarder::AttemptOutcome RequestForwarder::continueAttempt(Attempt &attempt,
+                                                                   HedgedSend::Answer answer)
+{
     if (!answer.ok() && sendProgress(answer.status()) == SendProgress::NothingSent) {
-        this->executionTracker.onNotExecuted();
-        this->lastError = "no connection to the upstream";
-        if (!absl::IsCancelled(answer.status())) {
-            lease.setResult(AttemptResult::ConnectFailed);
-        }
+        this->onNothingSent(attempt, answer.status());
         return AttemptOutcome::NotSent;
     }
-    if (this->sendCount++ == 0) {
-        this->retryBudget().onFirstAttempt();
-    }
+    this->onSent();
     if (!answer.ok()) {
         return this->onAttemptFailed(attempt, answer.status());
     }
@@ -369,6 +388,166 @@
     return outcome;
 }
 
+void RequestForwarder::onSent()
+{
+    if (this->sendCount++ == 0) {
+        this->retryBudget().onFirstAttempt();
+    }
+}
+
+void RequestForwarder::onNothingSent(const Attempt &attempt, const absl::Status &status)
+{
+    this->executionTracker.onNotExecuted();
+    this->lastError = "no connection to the upstream";
+    if (!absl::IsCancelled(status)) {
+        attempt.lease.setResult(AttemptResult::ConnectFailed);
+    }
+}
+
+bool RequestForwarder::mayHedge() const
+{
+    return this->request.view->hedging.extraShare > 0 && this->request.route->mayRunAgain()
+        && this->sendCount == 0 && !this->stream.hasStarted() && !this->request.view->stop;
+}
+
+HedgePolicy &RequestForwarder::hedgePolicy()
+{
+    const double extraShare = this->request.view->hedging.extraShare;
+    HedgePolicy &policy =
+        this->context.hedgePolicies
+            .try_emplace(this->request.service, HedgeOptions(), this->context.clock)
+            .first->second;
+    policy.setExtraShare(extraShare);
+    return policy;
+}
+
+RequestForwarder::AttemptOutcome
+RequestForwarder::attemptHedged(std::unique_ptr<UpstreamLease> &lease, Attempt &first)
+{
+    HedgePolicy &policy = this->hedgePolicy();
+    policy.onFirstSend();
+    const std::string &route = this->request.route->name;
+    const std::string firstUpstream = lease->upstream().id;
+    std::unique_ptr<UpstreamLease> secondLease;
+    std::optional<Attempt> second;
+    HedgedSend::Hooks hooks;
+    hooks.openFirst = [&](CallCanceller &canceller) { return this->open(first, canceller); };
+    hooks.startSecond = [&]() -> HedgedSend::Opener {
+        secondLease = this->tryAcquireHedge(first);
+        if (!secondLease) {
+            return {};
+        }
+        second.emplace(this->makeAttempt(*secondLease));
+        return [&](CallCanceller &canceller) { return this->open(*second, canceller); };
+    };
+    hooks.isUsable = [this](const HttpStream &answer) {
+        return answer.status() < status::kInternalError
+            && !this->context.requestCodec.parseUpstreamHeaders(answer.status(), answer.headers())
+                    .notExecuted;
+    };
+    HedgedSend send(this->context.runtime);
+    this->hedgedSend = &send;
+    HedgedSend::Result result = send.run(hooks, policy.delay(route).value_or(kNoHedge));
+    this->hedgedSend = nullptr;
+    const bool isFirstWithdrawn = result.isSecond && !result.other;
+    if (isFirstWithdrawn || (!result.isSecond && result.answer.ok())) {
+        policy.onFirstAnswer(route, firstUpstream, this->context.clock.now() - first.sentAt);
+    }
+    if (!result.wasHedged) {
+        return this->continueAttempt(first, std::move(result.answer));
+    }
+    this->settleLoser(result.isSecond ? first : *second, result.other);
+    if (result.isSecond) {
+        this->context.metrics.counter("hedges_won_total").add();
+        std::swap(lease, secondLease);
+        this->currentAttempt = &*second;
+    }
+    secondLease.reset(); // The other send's slot is free at once.
+    return this->continueAttempt(result.isSecond ? *second : first, std::move(result.answer));
+}
+
+std::unique_ptr<UpstreamLease> RequestForwarder::tryAcquireHedge(const Attempt &first)
+{
+    const Route &route = *this->request.route;
+    constexpr int kBothSends = 2;
+    HedgeQuery query;
+    query.route = route.name;
+    query.mayRunAgain = route.mayRunAgain();
+    query.hasBegun = this->stream.hasStarted();
+    query.isSuspect = this->isQuarantined()
+        || std::any_of(first.promptChains.begin(), first.promptChains.end(),
+                       [](int evidence) { return evidence > 0; });
+    query.hasAttemptLeft = this->sendCount + kBothSends <= route.maxAttempts;
+    query.timeLeft = this->timeLeft();
+    HedgePolicy &policy = this->hedgePolicy();
+    HedgeDecision decision =
+        this->exchange.callerGone() ? HedgeDecision::TooLate : policy.decide(query);
+    std::unique_ptr<UpstreamLease> lease;
+    if (decision == HedgeDecision::Send && !this->tryTakeFromBudget(RetryPurpose::Hedge)) {
+        decision = HedgeDecision::OverShare;
+        policy.onNotSent();
+    }
+    if (decision == HedgeDecision::Send) {
+        lease = this->context.scheduler.tryAcquireSecond(
+            requirementsFor(this->request,
+                            first.model.empty() ? this->effectiveModel() : first.model,
+                            {first.lease.upstream().id}, this->context),
+            first.lease.upstream());
+        if (!lease) {
+            decision = HedgeDecision::RoomShort;
+            policy.onNotSent();
+        }
+    }
+    this->context.metrics.counter(lease ? "hedges_sent_total" : "hedges_left_out_total").add();
+    this->context.log.write(
+        LogKind::Routine, "request late",
+        {{"request", this->request.caller.requestId},
+         {"route", route.name},
+         {"upstream", first.lease.upstream().id},
+         {"hedge", hedgeDecisionName(decision)},
+         {"second", lease ? std::string_view(lease->upstream().id) : std::string_view()},
+         {"afterMs", wholeMillis(this->context.clock.now() - first.sentAt)}});
+    return lease;
+}
+
+void RequestForwarder::settleLoser(Attempt &loser, const std::optional<HedgedSend::Answer> &other)
+{
+    if (other && !other->ok() && sendProgress(other->status()) == SendProgress::NothingSent) {
+        this->onNothingSent(loser, other->status());
+        return;
+    }
+    this->onSent();
+    const Duration took = this->context.clock.now() - loser.sentAt;
+    if (!other) {
+        // It says nothing of the upstream's health, but of its speed: the other one was faster.
+        if (loser.isRolloutActive) {
+            const UpstreamRecord &upstream = loser.lease.upstream();
+            this->context.control.onAnswer({this->request.service, upstream.softwareVersion,
+                                            this->request.route->name, upstream.incarnation(),
+                                            AnswerOutcome::Good, true});
+        }
+        return;
+    }
+    if (!other->ok()) {
+        const bool timedOut = absl::IsDeadlineExceeded(other->status());
+        loser.lease.setResult(timedOut ? AttemptResult::TimedOut : AttemptResult::Failed);
+        this->reportAnswer(loser, timedOut ? AnswerOutcome::Bad : AnswerOutcome::ConnectionLost,
+                           took);
+        return;
+    }
+    const HttpStream &answer = **other.value();
+    const UpstreamHeaders headers =
+        this->context.requestCodec.parseUpstreamHeaders(answer.status(), answer.headers());
+    this->recordNotices(loser, headers);
+    if (headers.notExecuted) {
+        this->executionTracker.onNotExecuted();
+        return;
+    }
+    const bool failed = answer.status() >= status::kInternalError;
+    loser.lease.setResult(failed ? AttemptResult::Failed : AttemptResult::Good);
+    this->reportAnswer(loser, failed ? AnswerOutcome::Bad : AnswerOutcome::Good, took);
+}
+
 RequestForwarder::AttemptOutcome RequestForwarder::onAttemptFailed(Attempt &attempt,
                                                                    const absl::Status &status)
 {
--- a/kernel/src/relay/RequestForwarder.h
+++ b/kernel/src/relay/RequestForwarder.h
@@ -4,6 +4,7 @@
 
 #include "AdmittedRequest.h"
 #include "ExecutionTracker.h"
+#include "HedgedSend.h"
 #include "StreamRelay.h"
 #include "UpstreamScheduler.h"
 
@@ -66,7 +67,24 @@
     const std::string &effectiveModel();
     bool usesLargestModel() const;
     AcquireResult acquire();
-    AttemptOutcome attempt(UpstreamLease &lease);
+    /// Records the send that follows.
+    Attempt makeAttempt(UpstreamLease &lease);
+    /// Sends the request and waits until its answer begins.
+    HedgedSend::Answer open(const Attempt &attempt, CallCanceller &sendCanceller);
+    /// `lease` is afterwards that of the upstream whose answer was taken.
+    AttemptOutcome attempt(std::unique_ptr<UpstreamLease> &lease);
+    /// As attempt(), with a second send when the first one is late.
+    AttemptOutcome attemptHedged(std::unique_ptr<UpstreamLease> &lease, Attempt &first);
+    AttemptOutcome continueAttempt(Attempt &attempt, HedgedSend::Answer answer);
+    void onSent();
+    void onNothingSent(const Attempt &attempt, const absl::Status &status);
+    /// Whether the operator allows hedges and the request has not been sent yet.
+    bool mayHedge() const;
+    HedgePolicy &hedgePolicy();
+    /// A slot for a second send beside `first`, if there shall be one.
+    std::unique_ptr<UpstreamLease> tryAcquireHedge(const Attempt &first);
+    /// Accounts for the send whose answer is not taken; `other` as in HedgedSend::Result.
+    void settleLoser(Attempt &loser, const std::optional<HedgedSend::Answer> &other);
     AttemptOutcome handleResponse(Attempt &attempt, HttpStream &answer);
     /// Passes on what the upstream says about itself in the headers of an answer.
     void recordNotices(const Attempt &attempt, const UpstreamHeaders &upstreamHeaders);
@@ -124,6 +142,7 @@
     StreamRelay stream;
     CallCanceller canceller;
     FiberEvent queueCancelled;
+    HedgedSend *hedgedSend = nullptr;      ///< Under way.
     HttpStream *currentResponse = nullptr; ///< The response being read; closed on disconnect.
     const Attempt *currentAttempt = nullptr;
     bool isWithdrawn = false; ///< See withdrawIfQuarantined().
--- a/kernel/src/relay/SiteServer.cpp
+++ b/kernel/src/relay/SiteServer.cpp
@@ -111,6 +111,7 @@
                   this->cascade,
                   this->prefillTimes,
                   this->retryBudgets,
+                  this->hedgePolicies,
                   this->initialQuota,
                   this->activePrompts}
         , relayHandler(this->context)
@@ -204,6 +205,7 @@
     AnswerCascade cascade;
     PrefillTimeEstimator prefillTimes;
     std::map<std::string, SlidingWindowRetryBudget> retryBudgets;
+    std::map<std::string, HedgePolicy> hedgePolicies;
     RolloutInitialQuota initialQuota;
     std::set<RequestForwarder *> activePrompts;
     std::optional<TimePoint> latestQuarantine; ///< Requests under way have been checked for it.
--- a/kernel/src/relay/UpstreamScheduler.cpp
+++ b/kernel/src/relay/UpstreamScheduler.cpp
@@ -189,6 +189,40 @@
                 .retryAfter(this->countWaitersAhead(requirements))};
 }
 
+std::unique_ptr<UpstreamLease>
+UpstreamScheduler::tryAcquireSecond(const UpstreamRequirements &requirements,
+                                    const UpstreamRecord &first)
+{
+    const VersionFilter versions = requirements.versions();
+    const bool isAnyWaiting =
+        std::any_of(this->waiters.begin(), this->waiters.end(), [&](const Waiter *waiter) {
+            return waiter->requirements.service == requirements.service;
+        });
+    if (isAnyWaiting || versions.share < 1) {
+        return nullptr;
+    }
+    ++this->picks;
+    for (const bool isElsewhere : {true, false}) {
+        this->candidates.clear();
+        for (const UpstreamRef &upstream : this->list->ready(requirements.service)) {
+            const bool isCandidate = upstream->id != first.id && versions.allows(*upstream)
+                && (upstream->failureDomain != first.failureDomain) == isElsewhere
+                && this->picker.isLessLoaded(*upstream, first, this->liveInstances);
+            if (isCandidate) {
+                this->candidates.push_back(upstream);
+            }
+        }
+        Pick picked = this->pickFrom(this->candidates, requirements);
+        if (picked.upstream) {
+            this->picker.onSent(*picked.upstream, picked.work);
+            this->listener.backlogChanged();
+            return std::make_unique<UpstreamLease>(*this, std::move(picked),
+                                                   sharedPromptId(requirements));
+        }
+    }
+    return nullptr;
+}
+
 void UpstreamScheduler::dispatchWaiters()
 {
     std::vector<SlotRequirements> unmet; // Of waiters that this call has found no slot for.
--- a/kernel/src/relay/UpstreamScheduler.h
+++ b/kernel/src/relay/UpstreamScheduler.h
@@ -133,6 +133,11 @@
     /// `maxWait` is not positive.
     AcquireResult acquire(const UpstreamRequirements &requirements, Duration maxWait,
                           const FiberEvent &cancelled);
+    /// A slot for a second send of a request that is under way at `first`: at an upstream with less
+    /// load, in another failure domain if there is one. Null if there is none, if requests of the
+    /// service wait for a slot, or if the request belongs to the traffic share of a new version.
+    std::unique_ptr<UpstreamLease> tryAcquireSecond(const UpstreamRequirements &requirements,
+                                                    const UpstreamRecord &first);
     /// Assigns free slots to waiting requests.
     void dispatchWaiters();
     /// Times that all upstreams of a service have been compared for one request.
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -537,6 +537,7 @@
     next->rollouts = this->rollouts.rollouts(this->tableWatcher.storeTime());
     next->stop = this->stop;
     next->bounds = this->settings.bounds;
+    next->hedging = this->settings.hedging;
     this->fillDirectory(*next);
     this->publishedGossipDigest = this->gossip.store().digest();
     this->publishedRolloutRevision = this->rollouts.revision();
@@ -627,6 +628,7 @@
 {
     this->runtime.post([this, next = std::move(next)] {
         this->settings.bounds = next.bounds;
+        this->settings.hedging = next.hedging;
         this->settings.seeds = next.seeds;
         this->addSeeds();
         this->publish();
--- a/kernel/src/site/SiteView.h
+++ b/kernel/src/site/SiteView.h
@@ -64,6 +64,7 @@
     /// exit.
     bool isLastResort = false;
     SiteBounds bounds;
+    HedgingSettings hedging;
 
     bool acceptsRequests() const { return this->catalog && !this->stop; }
 };
--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -97,6 +97,9 @@
                    std::uint64_t seed);
 
     Pick pick(const PickQuery &query);
+    /// Whether `upstream` has less of its slots in use than `other`.
+    bool isLessLoaded(const UpstreamRecord &upstream, const UpstreamRecord &other,
+                      int liveInstances);
     /// Records a dispatched request. `work`: Pick::work.
     void onSent(const UpstreamRecord &upstream, Duration work);
     /// The prefill is complete or has been abandoned. To be called once per onSent().
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -208,6 +208,14 @@
     return {*picked->upstream, PickProblem::None, picked->work, picked->ahead, source, {}};
 }
 
+bool UpstreamPicker::isLessLoaded(const UpstreamRecord &upstream, const UpstreamRecord &other,
+                                  int liveInstances)
+{
+    const double load = this->load(this->state(upstream), liveInstances);
+    const double otherLoad = this->load(this->state(other), liveInstances);
+    return load * std::max(1, other.slots) < otherLoad * std::max(1, upstream.slots);
+}
+
 void UpstreamPicker::onSent(const UpstreamRecord &upstream, Duration work)
 {
     State &state = this->state(upstream);
--- a/libs/retries/include/retries/HedgePolicy.h
+++ b/libs/retries/include/retries/HedgePolicy.h
@@ -80,6 +80,8 @@
     void onPeerAnswer(std::string_view route, AnswerTimes::Bucket bucket);
     /// To be called when a first send is late. Send takes one hedge from the operator's share.
     HedgeDecision decide(const HedgeQuery &query);
+    /// Gives back the hedge that decide() took: it was not sent.
+    void onNotSent();
 
 private:
     /// The latest first sends of a route, in a ring.
--- a/libs/retries/src/HedgePolicy.cpp
+++ b/libs/retries/src/HedgePolicy.cpp
@@ -70,6 +70,11 @@
     this->saved = std::min(kMaxSaved, this->saved + this->options.extraShare);
 }
 
+void HedgePolicy::onNotSent()
+{
+    this->saved = std::min(kMaxSaved, this->saved + 1);
+}
+
 void HedgePolicy::onFirstAnswer(std::string_view route, std::string_view upstream, Duration took)
 {
     const std::optional<Duration> late = this->delay(route);
--- a/libs/settings/include/settings/SiteSettings.h
+++ b/libs/settings/include/settings/SiteSettings.h
@@ -27,6 +27,12 @@
     double exposureSlack = 10;  ///< Requests beyond that share.
 };
 
+/// Second sends of requests that are slower than usual.
+struct HedgingSettings
+{
+    double extraShare = 0; ///< At most so many for each first send; 0: none.
+};
+
 struct SiteSettings
 {
     std::string instance;
@@ -42,6 +48,7 @@
     Endpoint store;
     int processorMillis = 0;   ///< Thousandths of a processor that the instance has; 0: unknown.
     int maxConnections = 2000; ///< Of callers; leaves descriptors for upstreams and peers.
+    HedgingSettings hedging;
     SiteBounds bounds;
 };
 
--- a/libs/settings/src/SiteSettings.cpp
+++ b/libs/settings/src/SiteSettings.cpp
@@ -82,6 +82,11 @@
             static_cast<int>(kThousand * root.number("processors", 0, kMostProcessors, 0));
         settings.maxConnections = static_cast<int>(
             root.integer("maxConnections", 1, kMostConnections, settings.maxConnections));
+        ObjectReader hedging = root.child("hedging");
+        constexpr double kMostExtra = 0.2; // More would be a second copy of the load.
+        settings.hedging.extraShare =
+            hedging.number("extraShare", 0, kMostExtra, settings.hedging.extraShare);
+        hedging.finish();
         settings.bounds = readBounds(root.child("bounds"));
         root.finish();
     }
--- a/libs/settings/tests/SiteSettingsTest.cpp
+++ b/libs/settings/tests/SiteSettingsTest.cpp
@@ -32,6 +32,25 @@
     CHECK(parsed.settings.bounds.retrySlack == SiteBounds().retrySlack);
 }
 
+TEST_CASE("hedging is off unless a share within its bounds is given")
+{
+    const auto parseWith = [](const std::string &hedging) {
+        std::string text = kComplete;
+        text.replace(text.find("\"seeds\""), 0, "\"hedging\": " + hedging + ", ");
+        return parseSiteSettings(text);
+    };
+    CHECK(parseSiteSettings(kComplete).settings.hedging.extraShare == 0);
+    const ParsedSiteSettings given = parseWith("{\"extraShare\": 0.02}");
+    REQUIRE(given.ok());
+    CHECK(given.settings.hedging.extraShare == 0.02);
+    for (const std::string wrong : {"-0.1", "0.5", "1e300", "\"much\""}) {
+        const ParsedSiteSettings refused = parseWith("{\"extraShare\": " + wrong + "}");
+        REQUIRE(refused.faults.size() == 1);
+        CHECK(refused.faults[0].path == "$.hedging.extraShare");
+    }
+    CHECK_FALSE(parseWith("{\"share\": 0.02}").ok());
+}
+
 TEST_CASE("each missing, unknown or malformed setting is a fault with its path")
 {
     std::string text = kComplete;
