--- a/kernel/src/relay/SiteServer.cpp
+++ b/kernel/src/relay/SiteServer.cpp
@@ -133,6 +133,7 @@
                   this->cascade,
                   this->prefillTimes,
                   this->retryBudgets,
+                  this->hedgePolicies,
                   this->initialQuota,
                   this->activePrompts}
         , relayHandler(this->context)
@@ -256,6 +257,7 @@
     AnswerCascade cascade;
     PrefillTimeEstimator prefillTimes;
     std::map<std::string, SlidingWindowRetryBudget> retryBudgets;
+    std::map<std::string, HedgePolicy> hedgePolicies;
     RolloutInitialQuota initialQuota;
     std::set<RequestForwarder *> activePrompts;
     std::shared_ptr<const Catalog> warmupCatalog; ///< That the rates of `warmup` are from.
--- a/kernel/src/site/SiteView.h
+++ b/kernel/src/site/SiteView.h
@@ -58,13 +58,15 @@
     std::vector<std::string> members;
     int liveInstances = 1; ///< Includes this instance.
     /// All that may live, those that this instance can't reach or that are leaving included. Shares
-    /// of bounds that must hold without talk are computed from it.
+    /// of bounds that must hold without talk are computed from it. 0: others are expected, and none
+    /// has been heard of yet.
     int knownInstances = 1;
     std::optional<ShutdownTimes> stop; ///< Set once this process has been told to stop.
     /// All instances are stopping, and this one is among those that accept requests until they
     /// exit.
     bool isLastResort = false;
     SiteBounds bounds;
+    HedgingSettings hedging;
 
     /// Whether this instance has learned since its start which failure domains are out of service.
     bool knowsDomains = false;
--- a/libs/retries/include/retries/SlidingWindowRetryBudget.h
+++ b/libs/retries/include/retries/SlidingWindowRetryBudget.h
@@ -42,7 +42,7 @@
 
     void onFirstAttempt();
     /// Takes one send; returns false if the allowance for `purpose` is exhausted. `members`: all
-    /// that may live, this one included.
+    /// that may live, this one included; 0: not known yet, so that there is no share of the slack.
     bool tryAcquire(RetryPurpose purpose, int members);
 
 private:
--- a/libs/retries/src/SlidingWindowRetryBudget.cpp
+++ b/libs/retries/src/SlidingWindowRetryBudget.cpp
@@ -66,8 +66,9 @@
             most = std::max(most, bucket.members);
         }
     }
+    const double slack = members > 0 ? this->options.slack / most : 0;
     const double allowed = this->options.safetyFactor
-        * (this->options.ratio * static_cast<double>(firstAttempts) + this->options.slack / most);
+        * (this->options.ratio * static_cast<double>(firstAttempts) + slack);
     // The first send of a window is for any purpose: else a small share would serve none.
     const double limit =
         retries == 0 && purpose != RetryPurpose::Hedge ? allowed : purposeShare(purpose) * allowed;
