--- a/libs/replica/tests/RecordFloodTest.cpp
+++ b/libs/replica/tests/RecordFloodTest.cpp
@@ -48,9 +48,9 @@
     return absl::StrCat(
         R"({"name":"r-)", word(7), R"(","host":")", word(4), random() % 90 + 10,
         R"(.example","prefix":"/)", word(4), random() % 900 + 100,
-        R"(/","route_kind":"streaming","timeout_ms":15000,"goal_ms":4000,"priority":)",
-        random() % 3, R"(,"service":"s)", random() % 4,
-        R"(","max_attempts":3,"public":false,"sticky":true,"can_resume":true,"gap_target_ms":2500})");
+        R"(/","kind":"streaming","timeout_ms":15000,"goal_ms":4000,"priority":)", random() % 3,
+        R"(,"service":"s)", random() % 4,
+        R"(","max_attempts":3,"public":false,"sticky":true,"resumes":true,"gap_target_ms":2500})");
 }
 
 /// The values of a record that grows by many routes and then changes by one each time.
