basilnotch explain: where a request would go at an instance of a site

Cause: operators could ask the own interface only why a request goes where it goes; on the platform's path the log of a request that has run was all there is.

Change: POST /explain on the metrics address follows admission, roll-out, choice and queue for a route by host and path, with workspace or key, session, prompt parts and upstreams that have failed the request. UpstreamPicker::explain() runs the pick on a copy, so it has the same state and random numbers and changes nothing; the initial quota of a roll-out is a copy as well. Keys are neither printed nor logged.

--- a/kernel/src/relay/AdmittedRequest.cpp
+++ b/kernel/src/relay/AdmittedRequest.cpp
@@ -24,8 +24,8 @@
 /// stopped before this one are running again after about a second.
 constexpr Duration kRetryAfterShutdown = seconds(1);
 
-/// Selects a target of a route by weight. The same `key` always selects the same target, so that
-/// all attempts with that `key` reach the same service.
+} // namespace
+
 const std::string &selectService(const Route &route, std::string_view key)
 {
     double total = 0;
@@ -43,8 +43,6 @@
     return route.targets.back().service;
 }
 
-} // namespace
-
 const EngineTraits *AdmittedRequest::engine() const
 {
     const Service *found = this->view->catalog->service(this->service);
--- a/kernel/src/relay/AdmittedRequest.h
+++ b/kernel/src/relay/AdmittedRequest.h
@@ -43,6 +43,10 @@
     bool dependsOnCatalog = false;
 };
 
+/// Selects a target of a route by weight. The same `key` always selects the same target, so that
+/// all attempts with that `key` reach the same service.
+const std::string &selectService(const Route &route, std::string_view key);
+
 using Admission = std::variant<AdmittedRequest, AdmissionError>;
 
 /// `arrivedAt` is the time at which the request was read.
--- a/kernel/src/relay/RequestRequirements.cpp
+++ b/kernel/src/relay/RequestRequirements.cpp
@@ -74,14 +74,23 @@
 UpstreamRequirements requirementsFor(const AdmittedRequest &request, const std::string &model,
                                      std::vector<std::string> excludedUpstreams,
                                      const RelayContext &context)
+{
+    return requirementsFor(request, model, std::move(excludedUpstreams), context,
+                           context.initialQuota);
+}
+
+UpstreamRequirements requirementsFor(const AdmittedRequest &request, const std::string &model,
+                                     std::vector<std::string> excludedUpstreams,
+                                     const RelayContext &context, RolloutInitialQuota &initialQuota)
 {
     UpstreamRequirements requirements;
     requirements.service = request.service;
-    requirements.versions = [&request, &context, admittedOrder = std::uint64_t{0}]() mutable {
+    requirements.versions = [&request, &context, &initialQuota,
+                             admittedOrder = std::uint64_t{0}]() mutable {
         // Uses the current view instead of the one at admission: a roll-out may have been ordered
         // since.
-        return versionFilterFor(request, *context.control.view(), context.clock.now(),
-                                context.initialQuota, &admittedOrder);
+        return versionFilterFor(request, *context.control.view(), context.clock.now(), initialQuota,
+                                &admittedOrder);
     };
     requirements.excludedUpstreams = std::move(excludedUpstreams);
     requirements.priority = request.priority;
--- a/kernel/src/relay/RequestRequirements.h
+++ b/kernel/src/relay/RequestRequirements.h
@@ -17,5 +17,10 @@
 UpstreamRequirements requirementsFor(const AdmittedRequest &request, const std::string &model,
                                      std::vector<std::string> excludedUpstreams,
                                      const RelayContext &context);
+/// The same with another account of the initial quota, which the requirements may use up.
+UpstreamRequirements requirementsFor(const AdmittedRequest &request, const std::string &model,
+                                     std::vector<std::string> excludedUpstreams,
+                                     const RelayContext &context,
+                                     RolloutInitialQuota &initialQuota);
 
 } // namespace basilnotch
--- a/kernel/src/relay/SiteHandlers.cpp
+++ b/kernel/src/relay/SiteHandlers.cpp
@@ -3,6 +3,7 @@
 #include "SiteHandlers.h"
 
 #include "RequestForwarder.h"
+#include "RouteExplainer.h"
 
 #include "site/SiteControl.h"
 
@@ -166,6 +167,11 @@
 
 void MetricsHandler::handle(HttpExchange &exchange)
 {
+    const HttpRequest &request = exchange.request();
+    if (request.path() == "/explain") {
+        (void)exchange.respond(explainRoute(request, this->context));
+        return;
+    }
     (void)exchange.respond(
         {status::kOk, {{"Content-Type", "text/plain"}}, this->context.metrics.print()});
 }
--- a/kernel/src/relay/SiteHandlers.h
+++ b/kernel/src/relay/SiteHandlers.h
@@ -72,7 +72,7 @@
     void handle(HttpExchange &exchange) override;
 };
 
-/// Prints counters and histograms as text.
+/// Prints counters and histograms as text, and answers POST /explain; see RouteExplainer.h.
 class MetricsHandler final : public AuxiliaryHandler
 {
 public:
--- a/kernel/src/relay/UpstreamScheduler.cpp
+++ b/kernel/src/relay/UpstreamScheduler.cpp
@@ -119,6 +119,12 @@
 
 Pick UpstreamScheduler::pickFrom(std::span<const UpstreamRef> upstreams,
                                  const UpstreamRequirements &requirements)
+{
+    return this->picker.pick(this->queryFor(upstreams, requirements));
+}
+
+PickQuery UpstreamScheduler::queryFor(std::span<const UpstreamRef> upstreams,
+                                      const UpstreamRequirements &requirements) const
 {
     PickQuery query;
     query.candidates = upstreams;
@@ -129,7 +135,43 @@
     query.sharedTokens = requirements.sharedTokens;
     query.liveInstances = this->liveInstances;
     query.isEngine = requirements.isEngine;
-    return this->picker.pick(query);
+    return query;
+}
+
+AssignmentExplanation UpstreamScheduler::explain(const UpstreamRequirements &requirements) const
+{
+    AssignmentExplanation explanation;
+    explanation.versions = requirements.versions();
+    const VersionFilter &versions = explanation.versions;
+    std::vector<UpstreamRef> allowed;
+    for (const UpstreamRef &upstream : this->list->all(requirements.service)) {
+        const std::vector<UpstreamRef> &ready = this->list->ready(requirements.service);
+        if (std::find(ready.begin(), ready.end(), upstream) == ready.end()) {
+            explanation.notReady.push_back(upstream);
+        } else if (versions.allows(*upstream)) {
+            allowed.push_back(upstream);
+        } else {
+            explanation.otherVersions.push_back(upstream);
+        }
+    }
+    if (versions.share < 1) {
+        std::vector<UpstreamRef> chosen = allowed;
+        selectCanaries(
+            &chosen, canaryCount(allowed.size(), explanation.otherVersions.size(), versions.share),
+            versions.rolloutOrder);
+        explanation.picked = this->picker.explain(this->queryFor(chosen, requirements));
+    }
+    if (!explanation.picked.pick.upstream) {
+        explanation.picked = this->picker.explain(this->queryFor(allowed, requirements));
+    }
+    explanation.waitersAhead = this->countWaitersAhead(requirements);
+    const auto estimator = this->waitEstimators.find(requirements.service);
+    const QueueWaitEstimator none({}, this->clock);
+    const QueueWaitEstimator &wait =
+        estimator == this->waitEstimators.end() ? none : estimator->second;
+    explanation.expectedWait = wait.expectedWait(explanation.waitersAhead);
+    explanation.retryAfter = wait.retryAfter(explanation.waitersAhead);
+    return explanation;
 }
 
 QueueWaitEstimator &UpstreamScheduler::waitEstimator(const std::string &service)
--- a/kernel/src/relay/UpstreamScheduler.h
+++ b/kernel/src/relay/UpstreamScheduler.h
@@ -110,6 +110,18 @@
     Duration retryAfter{}; ///< With TooBusy: when a slot may be free.
 };
 
+/// What acquire() would do now.
+struct AssignmentExplanation
+{
+    VersionFilter versions;
+    PickExplanation picked; ///< Among the upstreams of these versions.
+    std::vector<UpstreamRef> otherVersions;
+    std::vector<UpstreamRef> notReady;    ///< Registered, but get no new work.
+    std::size_t waitersAhead = 0;         ///< Waiting requests that are served before.
+    std::optional<Duration> expectedWait; ///< In the queue; empty without recent samples.
+    Duration retryAfter{};                ///< What a caller is told that can't wait.
+};
+
 /// Events that other instances have to learn of. Called on the traffic thread.
 struct UpstreamSchedulerListener
 {
@@ -133,6 +145,8 @@
     /// `maxWait` is not positive.
     AcquireResult acquire(const UpstreamRequirements &requirements, Duration maxWait,
                           const FiberEvent &cancelled);
+    /// What acquire() would do for such a request now, and why. Changes nothing.
+    AssignmentExplanation explain(const UpstreamRequirements &requirements) const;
     /// Assigns free slots to waiting requests.
     void dispatchWaiters();
     /// Times that all upstreams of a service have been compared for one request.
@@ -162,6 +176,8 @@
     /// Chooses an upstream and reserves the slot.
     Pick pick(const UpstreamRequirements &requirements, const VersionFilter &versions);
     Pick pickFrom(std::span<const UpstreamRef> upstreams, const UpstreamRequirements &requirements);
+    PickQuery queryFor(std::span<const UpstreamRef> upstreams,
+                       const UpstreamRequirements &requirements) const;
     QueueWaitEstimator &waitEstimator(const std::string &service);
     /// Number of waiting requests that are served before `requirements`.
     std::size_t countWaitersAhead(const UpstreamRequirements &requirements) const;
--- a/kernel/tests/UpstreamSchedulerTest.cpp
+++ b/kernel/tests/UpstreamSchedulerTest.cpp
@@ -6,7 +6,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
+#include <string>
+#include <vector>
 
 using namespace basilnotch;
 using basilnotch::testing::inFiber;
@@ -48,6 +51,48 @@
 
 } // namespace
 
+// Guards against an explanation that is not what happens, or that changes what happens.
+TEST_CASE("what is explained is what the next request gets, on a paused clock", "[explain]")
+{
+    inFiber([](FiberRuntime &) {
+        SchedulerFixture fixture;
+        std::vector<UpstreamRef> list;
+        for (int number = 0; number < 12; ++number) {
+            list.push_back(upstream("u" + std::to_string(number), number < 8 ? "v1" : "v2"));
+        }
+        auto draining = std::make_shared<UpstreamRecord>(*list.front());
+        draining->state = UpstreamState::Draining;
+        list.front() = draining;
+        fixture.setUpstreams(list);
+        fixture.versions.excludedVersions = {"v2"};
+        FiberEvent cancelled;
+        std::vector<std::unique_ptr<UpstreamLease>> leases;
+        for (int round = 0; round < 7; ++round) {
+            (void)fixture.scheduler.explain(fixture.requirements());
+            const AssignmentExplanation explained =
+                fixture.scheduler.explain(fixture.requirements());
+            AcquireResult acquired =
+                fixture.scheduler.acquire(fixture.requirements(), seconds(1), cancelled);
+            REQUIRE(acquired.lease);
+            CHECK(explained.picked.pick.upstream == acquired.lease->upstreamRef());
+            CHECK(explained.otherVersions.size() == 4);
+            CHECK(explained.notReady.size() == 1);
+            for (const CandidateExplanation &item : explained.picked.candidates) {
+                const bool isTaken =
+                    std::any_of(leases.begin(), leases.end(), [&](const auto &lease) {
+                        return lease->upstreamRef() == item.upstream;
+                    });
+                CHECK((item.leftOut == "full") == isTaken);
+            }
+            leases.push_back(std::move(acquired.lease));
+        }
+        const AssignmentExplanation full = fixture.scheduler.explain(fixture.requirements());
+        CHECK_FALSE(full.picked.pick.upstream);
+        CHECK(fixture.scheduler.acquire(fixture.requirements(), {}, cancelled).error
+              == AcquireError::TooBusy);
+    });
+}
+
 TEST_CASE("a request queued before a roll-out is not assigned to the new version")
 {
     inFiber([](FiberRuntime &runtime) {
--- a/libs/catalog/include/catalog/Catalog.h
+++ b/libs/catalog/include/catalog/Catalog.h
@@ -114,6 +114,8 @@
     const Route *match(std::string_view host, std::string_view path) const;
     /// The workspace that holds `key`; null when nobody does.
     const CatalogWorkspace *workspaceOf(std::string_view key) const;
+    /// The workspace of that name; null when there is none.
+    const CatalogWorkspace *workspace(std::string_view name) const;
     const Service *service(std::string_view name) const;
     /// False when callers need no key at all.
     bool hasWorkspaces() const { return !this->parts.workspaces.empty(); }
--- a/libs/catalog/src/Catalog.cpp
+++ b/libs/catalog/src/Catalog.cpp
@@ -55,6 +55,16 @@
     return found == this->byKey.end() ? nullptr : found->second;
 }
 
+const CatalogWorkspace *Catalog::workspace(std::string_view name) const
+{
+    for (const CatalogWorkspace &workspace : this->parts.workspaces) {
+        if (workspace.name == name) {
+            return &workspace;
+        }
+    }
+    return nullptr;
+}
+
 const Service *Catalog::service(std::string_view name) const
 {
     const auto found = this->byService.find(name);
--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -80,6 +80,26 @@
     Duration pauseLeft{};  ///< With AllPaused: until the first candidate accepts requests again.
 };
 
+/// How pick() sees a candidate.
+struct CandidateExplanation
+{
+    UpstreamRef upstream;
+    std::string_view leftOut;   ///< Why it can't be picked; empty when it can.
+    double scoreMs = 0;         ///< Expected delay; the least is best.
+    double load = 0;            ///< Requests assumed there.
+    double failureRatio = 0;    ///< Smoothed.
+    Duration ahead{};           ///< Engine time of the prefills queued there.
+    Duration work{};            ///< Engine time of this request's prefill there.
+    bool fetchesPrompt = false; ///< Would fetch the shared prompt from another engine.
+    Duration pauseLeft{};       ///< If it has asked for a pause.
+};
+
+struct PickExplanation
+{
+    Pick pick; ///< What the next pick() for the same query returns, at the same time.
+    std::vector<CandidateExplanation> candidates;
+};
+
 /// Engine state that instances estimate from their traffic, beyond the engines' reports. Not
 /// thread-safe.
 struct EngineEstimates
@@ -97,6 +117,8 @@
                    std::uint64_t seed);
 
     Pick pick(const PickQuery &query);
+    /// What pick() would return now and why; changes nothing.
+    PickExplanation explain(const PickQuery &query) const;
     /// Records a dispatched request. `work`: Pick::work.
     void onSent(const UpstreamRecord &upstream, Duration work);
     /// The prefill is complete or has been abandoned. To be called once per onSent().
@@ -164,6 +186,7 @@
     bool mayServe(const UpstreamRecord &upstream, const PickQuery &query) const;
     /// Scores the candidates that may serve the request, into `scored`.
     void scoreAll(const PickQuery &query);
+    CandidateExplanation explainCandidate(const UpstreamRef &upstream, const PickQuery &query);
     /// The result of a pick for which `scored` is empty.
     Pick explainNone(const PickQuery &query) const;
     /// Returns a random near-best item of `scored`; null if none has room.
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -208,6 +208,51 @@
     return {*picked->upstream, PickProblem::None, picked->work, picked->ahead, source, {}};
 }
 
+CandidateExplanation UpstreamPicker::explainCandidate(const UpstreamRef &upstream,
+                                                      const PickQuery &query)
+{
+    CandidateExplanation item;
+    item.upstream = upstream;
+    const State &state = this->state(*upstream);
+    item.load = this->load(state, query.liveInstances);
+    item.failureRatio = state.health.smoothedFailureRatio();
+    item.pauseLeft = this->notices.pauseLeft(*upstream).value_or(Duration::zero());
+    if (contains(query.avoid, upstream->id)) {
+        item.leftOut = "has failed this request";
+    } else if (!this->notices.acceptsRequests(*upstream)) {
+        item.leftOut = item.pauseLeft > Duration::zero() ? "paused" : "leaving";
+    }
+    const auto scored =
+        std::find_if(this->scored.begin(), this->scored.end(),
+                     [&](const Scored &s) { return s.upstream->get() == upstream.get(); });
+    if (scored == this->scored.end()) {
+        return item;
+    }
+    item.scoreMs = scored->ms;
+    item.ahead = scored->ahead;
+    item.work = scored->work;
+    item.fetchesPrompt = scored->fetches;
+    const bool isNearBest =
+        std::find(this->nearBest.begin(), this->nearBest.end(), &*scored) != this->nearBest.end();
+    if (!isNearBest) {
+        item.leftOut = scored->isFull ? "full" : !scored->isHealthy ? "unhealthy" : "score";
+    }
+    return item;
+}
+
+PickExplanation UpstreamPicker::explain(const PickQuery &query) const
+{
+    // A copy has the same state and random numbers, so its pick is the next one.
+    UpstreamPicker copy(*this);
+    copy.nearBest.clear();
+    PickExplanation explanation;
+    explanation.pick = copy.pick(query);
+    for (const UpstreamRef &candidate : query.candidates) {
+        explanation.candidates.push_back(copy.explainCandidate(candidate, query));
+    }
+    return explanation;
+}
+
 void UpstreamPicker::onSent(const UpstreamRecord &upstream, Duration work)
 {
     State &state = this->state(upstream);
--- a/libs/upstreams/include/upstreams/UpstreamList.h
+++ b/libs/upstreams/include/upstreams/UpstreamList.h
@@ -50,6 +50,8 @@
     std::size_t readyOf(std::string_view service, std::string_view softwareVersion) const;
     /// The upstream with that id; null when it has left.
     UpstreamRef find(std::string_view id) const;
+    /// All of `service`, those that get no new work as well, in the order of their ids.
+    std::vector<UpstreamRef> all(std::string_view service) const;
     std::size_t size() const { return this->byId.size(); }
 
 private:
--- a/libs/upstreams/src/UpstreamList.cpp
+++ b/libs/upstreams/src/UpstreamList.cpp
@@ -39,4 +39,15 @@
     return found == this->byId.end() ? nullptr : found->second;
 }
 
+std::vector<UpstreamRef> UpstreamList::all(std::string_view service) const
+{
+    std::vector<UpstreamRef> found;
+    for (const auto &[id, upstream] : this->byId) {
+        if (upstream->service == service) {
+            found.push_back(upstream);
+        }
+    }
+    return found;
+}
+
 } // namespace basilnotch
--- a/tools/basilnotch/Main.cpp
+++ b/tools/basilnotch/Main.cpp
@@ -7,6 +7,7 @@
 #include <kernel/SiteProcess.h>
 #include <rules/RulesParser.h>
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
@@ -35,6 +36,8 @@
   basilnotch rules apply FILE --base N        put FILE in force, if N is still the version in force
   basilnotch rules status                     where the accepted rules are in force
   basilnotch explain --workspace W --task T   which model, version and upstream, and why
+  basilnotch explain --host H --path P        where an instance of a site would send this request
+                                              now, and why; --instance is its metrics address
   basilnotch status                           one instance's view of the system
 
 Commands that talk to the system take --instance ADDRESS:PORT (may be repeated) and --key KEY, or
@@ -57,6 +60,13 @@
     add("key", options::value<std::string>(), "operator's key");
     add("base", options::value<std::uint64_t>(), "version that was edited");
     add("workspace", options::value<std::string>(), "workspace to explain");
+    add("host", options::value<std::string>(), "host of the request to explain");
+    add("path", options::value<std::string>(), "path of the request to explain");
+    add("caller-key", options::value<std::string>(), "key of a caller, instead of its workspace");
+    add("request", options::value<std::string>(), "id of the request to explain");
+    add("model", options::value<std::string>(), "model that the request names");
+    add("prompt", options::value<std::vector<std::string>>(),
+        "ID:TOKENS of a prompt part, from the first one (may be repeated)");
     add("task", options::value<std::string>(), "task to explain");
     add("session", options::value<std::string>()->default_value(""), "session token to explain");
     add("stream", "explain a caller that streams");
@@ -246,10 +256,47 @@
     return applyRules(target, file, given["base"].as<std::uint64_t>());
 }
 
+/// Asks an instance of a site.
+int runExplainRoute(const options::variables_map &given)
+{
+    if (given.count("path") == 0) {
+        return usageError("explain: --host needs --path");
+    }
+    RouteQuestion question;
+    const auto read = [&](const char *name, std::string *value) {
+        if (given.count(name) > 0) {
+            *value = given[name].as<std::string>();
+        }
+    };
+    read("host", &question.host);
+    read("path", &question.path);
+    read("workspace", &question.workspace);
+    read("caller-key", &question.callerKey);
+    read("session", &question.session);
+    read("request", &question.request);
+    read("model", &question.model);
+    if (given.count("prompt") > 0) {
+        for (const std::string &part : given["prompt"].as<std::vector<std::string>>()) {
+            const std::size_t at = part.rfind(':');
+            int tokens = 0;
+            if (at == std::string::npos || !absl::SimpleAtoi(part.substr(at + 1), &tokens)) {
+                return usageError("explain: --prompt: found '" + part + "'; allowed: ID:TOKENS");
+            }
+            question.prompt.emplace_back(part.substr(0, at), tokens);
+        }
+    }
+    OperatorTarget target;
+    return readTarget(given, &target) ? explainRoute(target, question, given.count("json") > 0)
+                                      : ExitUsage;
+}
+
 int runExplain(const options::variables_map &given)
 {
+    if (given.count("host") > 0) {
+        return runExplainRoute(given);
+    }
     if (given.count("workspace") == 0 || given.count("task") == 0) {
-        return usageError("explain: --workspace and --task are needed");
+        return usageError("explain: --workspace and --task, or --host and --path, are needed");
     }
     OperatorTarget target;
     if (!readTarget(given, &target)) {
--- a/tools/basilnotch/OperatorClient.cpp
+++ b/tools/basilnotch/OperatorClient.cpp
@@ -59,6 +59,9 @@
     if (!value) {
         return {};
     }
+    if (value->is_double()) {
+        return absl::StrCat(value->as_double());
+    }
     return value->is_string() ? std::string(value->as_string()) : json::serialize(*value);
 }
 
@@ -261,4 +264,58 @@
     return ExitOk;
 }
 
+int explainRoute(const OperatorTarget &target, const RouteQuestion &question, bool asJson)
+{
+    json::object body{{"host", question.host}, {"path", question.path}};
+    const auto add = [&](const char *name, const std::string &value) {
+        if (!value.empty()) {
+            body[name] = value;
+        }
+    };
+    add("workspace", question.workspace);
+    add("key", question.callerKey);
+    add("session", question.session);
+    add("request", question.request);
+    add("model", question.model);
+    json::array prompt;
+    for (const auto &[id, tokens] : question.prompt) {
+        prompt.push_back(json::object{{"id", id}, {"tokens", tokens}});
+    }
+    body["prompt"] = std::move(prompt);
+    const auto response = exchange(target, {"POST", "/explain", {}, json::serialize(body)});
+    if (asJson || !response.ok() || response->status != status::kOk) {
+        return printJson(response);
+    }
+    const json::object answer = readObject(response->body);
+    const auto line = [&](const char *label, const json::object &object,
+                          std::initializer_list<const char *> names) {
+        std::cout << label;
+        for (const char *name : names) {
+            if (object.contains(name)) {
+                std::cout << "  " << name << " " << text(object, name);
+            }
+        }
+        std::cout << "\n";
+    };
+    line("configuration", answer, {"configuration", "confirmedMsAgo"});
+    if (const json::value *route = answer.if_contains("route")) {
+        line("route", route->as_object(),
+             {"name", "timeoutMs", "goalMs", "maxAttempts", "cascade"});
+        line("request", answer, {"workspace", "priority", "service", "model"});
+    }
+    if (const json::value *rollout = answer.if_contains("rollout")) {
+        line("roll-out", rollout->as_object(), {"toVersion", "share", "held", "completed"});
+    }
+    if (const json::value *candidates = answer.if_contains("candidates")) {
+        for (const json::value &item : candidates->as_array()) {
+            line("  upstream", item.as_object(),
+                 {"upstream", "verdict", "version", "failureDomain", "scoreMs", "load", "slots",
+                  "queuedPrefillMs", "prefillMs", "fetchesPrompt", "failureRatio", "pauseLeftMs"});
+        }
+        line("queue", answer.at("queue").as_object(), {"ahead", "expectedWaitMs"});
+    }
+    std::cout << "answer: " << text(answer, "answer") << "\n";
+    return ExitOk;
+}
+
 } // namespace basilnotch
