--- a/kernel/src/relay/UpstreamScheduler.h
+++ b/kernel/src/relay/UpstreamScheduler.h
@@ -116,6 +116,18 @@
     Duration retryAfter{}; ///< When a slot may be free; zero when that is unknown.
 };
 
+/// What acquire() would do now.
+struct AssignmentExplanation
+{
+    VersionFilter versions;
+    PickExplanation picked; ///< Among the upstreams of these versions.
+    std::vector<UpstreamRef> otherVersions;
+    std::vector<UpstreamRef> notReady;    ///< Registered, but get no new work.
+    std::size_t waitersAhead = 0;         ///< Waiting requests that are served before.
+    std::optional<Duration> expectedWait; ///< In the queue; empty without recent samples.
+    Duration retryAfter{};                ///< What a caller is told that can't wait.
+};
+
 /// Events that other instances have to learn of. Called on the traffic thread.
 struct UpstreamSchedulerListener
 {
@@ -147,6 +159,8 @@
     /// service wait for a slot, or if the request belongs to the traffic share of a new version.
     std::unique_ptr<UpstreamLease> tryAcquireSecond(const UpstreamRequirements &requirements,
                                                     const UpstreamRecord &first);
+    /// What acquire() would do for such a request now, and why. Changes nothing.
+    AssignmentExplanation explain(const UpstreamRequirements &requirements) const;
     /// Assigns free slots to waiting requests.
     void dispatchWaiters();
     /// Times that all upstreams of a service have been compared for one request.
@@ -179,6 +193,8 @@
     Pick pickFrom(std::span<const UpstreamRef> upstreams, const UpstreamRequirements &requirements);
     /// The result for a service without upstreams that may be sent to.
     AcquireResult noUpstream(const std::string &service) const;
+    PickQuery queryFor(std::span<const UpstreamRef> upstreams,
+                       const UpstreamRequirements &requirements) const;
     QueueWaitEstimator &waitEstimator(const std::string &service);
     /// Number of waiting requests that are served before `requirements`.
     std::size_t countWaitersAhead(const UpstreamRequirements &requirements) const;
