Load: evidence of failures and silence is shared

Change: ended requests are told with their results, within the failure domain in which they were seen. An upstream is avoided while two other instances have seen failures and most results of others there are failures, and while it has answered nobody for three seconds although three requests were sent.

--- a/kernel/src/relay/BacklogGossip.cpp
+++ b/kernel/src/relay/BacklogGossip.cpp
@@ -23,8 +23,8 @@
 /// most requests hold a slot.
 constexpr Duration kLoadFlushInterval = milliseconds(40);
 
-/// Of all instances of a failure domain: 400 a second, 12 bytes each.
-constexpr std::size_t kMaxEndedPerFlush = 16;
+/// At most 600 a second, 15 bytes each.
+constexpr std::size_t kMaxEndedPerFlush = 24;
 
 /// Chunk `index` of `list`, in chunks of kMaxUpdatesPerDatagram.
 template <typename Update>
@@ -216,13 +216,14 @@
         if (item.instance == this->engineEstimates.backlog.ownInstance()) {
             continue;
         }
-        this->engineEstimates.load.onOtherEnded(item.upstream, item.count);
+        this->engineEstimates.load.onOtherEnded(item);
         if (stage == BacklogStage::ToMembers) {
             continue;
         }
         this->loadForMembers.ended.push_back(item);
         if (stage == BacklogStage::ToCollector) {
-            this->loadForCollectors.ended.push_back(item);
+            // What fails for callers in one failure domain may work for those in another.
+            this->loadForCollectors.ended.push_back({item.instance, item.upstream, item.count});
         }
         this->scheduleLoadFlush();
     }
@@ -251,8 +252,9 @@
         for (const PeerLoadReport &report : this->dueReports) {
             batch.reports.add(report);
         }
-        for (const auto &[upstream, count] : this->dueEnded) {
-            batch.ended.push_back({instance, upstream, count});
+        for (const EndedRequests &ended : this->dueEnded) {
+            batch.ended.push_back(ended);
+            batch.ended.back().instance = instance;
         }
     };
     if (this->peers.collector) {
--- a/kernel/src/relay/BacklogGossip.h
+++ b/kernel/src/relay/BacklogGossip.h
@@ -21,7 +21,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace basilnotch {
@@ -57,7 +56,7 @@
     void onLocalChange();
     /// Announces that an engine has prefilled a shared prompt of this instance.
     void onPromptPrefilled(const PromptCacheUpdate &update);
-    /// Schedules a send after an answer that reported its upstream's load.
+    /// Schedules a send after news of an upstream's load or health.
     void onLoadReported() { this->scheduleLoadFlush(); }
     /// Called when reports of other instances have arrived, and with them perhaps a free slot.
     void setLoadListener(std::function<void()> listener)
@@ -118,7 +117,7 @@
     bool isLoadFlushScheduled = false;
     // Scratch buffers of flushLoad().
     std::vector<PeerLoadReport> dueReports;
-    std::vector<std::pair<std::uint32_t, int>> dueEnded;
+    std::vector<EndedRequests> dueEnded;
     std::function<void()> loadListener = [] {};
 };
 
--- a/kernel/src/relay/BacklogMessage.cpp
+++ b/kernel/src/relay/BacklogMessage.cpp
@@ -1,7 +1,7 @@
 // MessagePack format: [version, stage, [[instance, upstream, number, work in ms], ...],
 // [[prompt, upstream], ...]]. Messages on load have two more parts: [[upstream, running, waiting,
 // slots, pace in percent, measured pace in percent, age in ms], ...], [[instance, upstream, ended
-// requests], ...].
+// requests, good, failed], ...].
 #include "BacklogMessage.h"
 
 #include <nlohmann/json.hpp>
@@ -19,7 +19,7 @@
 constexpr std::size_t kLoadReportsField = 4;
 constexpr std::size_t kEndedField = 5;
 constexpr std::size_t kLoadReportFields = 7;
-constexpr std::size_t kEndedFields = 3;
+constexpr std::size_t kEndedFields = 5;
 constexpr std::size_t kBacklogUpdateFields = 4;
 constexpr std::size_t kCachedPromptFields = 2;
 /// No prompt takes this long; a larger value indicates a damaged message.
@@ -40,6 +40,14 @@
     return item.is_array() && item.size() <= kMaxUpdatesPerDatagram;
 }
 
+/// Whether a number from index `first` on is beyond any sensible figure.
+bool hasExcess(const nlohmann::json &numbers, std::ptrdiff_t first)
+{
+    return std::any_of(numbers.begin() + first, numbers.end(), [](const nlohmann::json &number) {
+        return number.get<std::uint64_t>() > kMaxLoadFigure;
+    });
+}
+
 nlohmann::json encodeLoadReports(const std::vector<PeerLoadReport> &reports, TimePoint now)
 {
     nlohmann::json encoded = nlohmann::json::array();
@@ -59,10 +67,7 @@
 
 std::optional<PeerLoadReport> decodeLoadReport(const nlohmann::json &item, TimePoint now)
 {
-    if (!isUnsignedArray(item, kLoadReportFields)
-        || std::any_of(item.begin() + 1, item.end(), [](const nlohmann::json &field) {
-               return field.get<std::uint64_t>() > kMaxLoadFigure;
-           })) {
+    if (!isUnsignedArray(item, kLoadReportFields) || hasExcess(item, 1)) {
         return std::nullopt;
     }
     PeerLoadReport report;
@@ -99,7 +104,8 @@
         nlohmann::json ended = nlohmann::json::array();
         for (const EndedRequests &item : message.ended) {
             ended.push_back(nlohmann::json::array(
-                {item.instance, item.upstream, static_cast<unsigned>(item.count)}));
+                {item.instance, item.upstream, static_cast<unsigned>(item.count),
+                 static_cast<unsigned>(item.good), static_cast<unsigned>(item.failed)}));
         }
         envelope.push_back(std::move(ended));
     }
@@ -152,12 +158,11 @@
     }
     if (envelope.size() > kEndedField) {
         for (const nlohmann::json &item : envelope[kEndedField]) {
-            if (!isUnsignedArray(item, kEndedFields)
-                || item[2].get<std::uint64_t>() > kMaxLoadFigure) {
+            if (!isUnsignedArray(item, kEndedFields) || hasExcess(item, 2)) {
                 return malformed;
             }
-            message.ended.push_back(
-                {item[0].get<std::uint32_t>(), item[1].get<std::uint32_t>(), item[2].get<int>()});
+            message.ended.push_back({item[0].get<std::uint32_t>(), item[1].get<std::uint32_t>(),
+                                     item[2].get<int>(), item[3].get<int>(), item[4].get<int>()});
         }
     }
     return message;
--- a/kernel/src/relay/UpstreamScheduler.cpp
+++ b/kernel/src/relay/UpstreamScheduler.cpp
@@ -42,8 +42,8 @@
         // The backlog has told the other instances of this request.
         this->scheduler.engineEstimates.load.onToldEnded(
             PrefillBacklog::engineKey(this->upstream()));
-        this->scheduler.listener.loadReported();
     }
+    this->scheduler.listener.loadReported();
     this->scheduler.waitEstimator(this->upstream().service).onSlotFreed();
     this->scheduler.dispatchWaiters();
 }
--- a/kernel/src/relay/UpstreamScheduler.h
+++ b/kernel/src/relay/UpstreamScheduler.h
@@ -117,7 +117,7 @@
 {
     /// The backlog of an engine has changed through this instance.
     std::function<void()> backlogChanged;
-    /// An upstream has reported its load.
+    /// There is news of an upstream's load or health.
     std::function<void()> loadReported;
     /// An engine has prefilled a shared prompt.
     std::function<void(const PromptCacheUpdate &update)> promptPrefilled;
--- a/kernel/tests/BacklogMessageTest.cpp
+++ b/kernel/tests/BacklogMessageTest.cpp
@@ -39,7 +39,7 @@
     const TimePoint seenAt = clock.now();
     clock.advance(milliseconds(70));
     const BacklogMessage message{
-        BacklogStage::ToCollectors, {}, {}, {someReport(seenAt)}, {{5, 6, 2}}};
+        BacklogStage::ToCollectors, {}, {}, {someReport(seenAt)}, {{5, 6, 2, 1, 3}}};
     ManualClock receiver;
     receiver.advance(std::chrono::hours(3));
     const auto decoded = decodeBacklog(encodeBacklog(message, clock.now()), receiver.now());
@@ -53,6 +53,8 @@
     CHECK(receiver.now() - report.seenAt == milliseconds(70));
     REQUIRE(decoded->ended.size() == 1);
     CHECK(decoded->ended.front().count == 2);
+    CHECK(decoded->ended.front().good == 1);
+    CHECK(decoded->ended.front().failed == 3);
 }
 
 TEST_CASE("messages of the version before still decode, and unknown parts are skipped")
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -18,6 +18,9 @@
     return std::chrono::duration<double, std::milli>(value).count();
 }
 
+/// An engine with more queued prefills may be silent without a fault.
+constexpr Duration kMaxAheadOfSilent = std::chrono::seconds(1);
+
 bool contains(std::span<const std::string> ids, std::string_view id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -95,7 +98,8 @@
     }
     item.ms *= 1 + 2 * state.health.smoothedFailureRatio();
     const bool hasProbeInFlight = state.health.isProbing() && state.inFlight > 0;
-    item.isHealthy = !state.health.isPaused() && !hasProbeInFlight;
+    item.isHealthy = !state.health.isPaused() && !hasProbeInFlight && !load.failsForOthers
+        && !(load.isSilent && item.ahead < kMaxAheadOfSilent);
     item.isFull = load.requests >= std::max(1.0, this->options.maxSlotShare * upstream->slots);
     return item;
 }
@@ -319,6 +323,9 @@
     this->fade(times);
     times.inFlight = std::max(0, times.inFlight - 1);
     ++times.ended;
+    if (result) {
+        this->engineEstimates.load.onResult(state.backlogKey, *result == AttemptResult::Good);
+    }
     return result && state.health.onResult(*result);
 }
 
--- a/libs/decision/tests/PickerTest.cpp
+++ b/libs/decision/tests/PickerTest.cpp
@@ -260,3 +260,41 @@
         CHECK(fixture.picker.pick(query).fetchFrom == holder);
     }
 }
+
+TEST_CASE("an upstream that fails for other instances or answers none of them is avoided")
+{
+    PickerFixture fixture(3, 8);
+    PickQuery query = fixture.query();
+    query.liveInstances = 9;
+    LoadEstimate &load = fixture.engineEstimates.load;
+    const auto picksOf = [&](const std::string &id) {
+        int count = 0;
+        for (int number = 0; number < 60; ++number) {
+            count += fixture.picker.pick(query).upstream->id == id ? 1 : 0;
+        }
+        return count;
+    };
+    const auto answerAll = [&](int except) {
+        for (int number = 0; number < 3; ++number) {
+            if (number != except) {
+                fixture.picker.onLoad(*fixture.upstreams[static_cast<std::size_t>(number)],
+                                      {1, 0, 8, {}});
+            }
+        }
+    };
+    answerAll(-1);
+    CHECK(picksOf("u0") > 0);
+    const std::uint32_t failing = PrefillBacklog::engineKey(*fixture.upstreams[0]);
+    load.onOtherEnded({2, failing, 0, 0, 2});
+    load.onOtherEnded({3, failing, 0, 0, 2});
+    CHECK(picksOf("u0") == 0);
+    const std::uint32_t silent = PrefillBacklog::engineKey(*fixture.upstreams[1]);
+    fixture.clock.advance(milliseconds(100));
+    for (int count = 0; count < 3; ++count) {
+        load.onOtherSent(silent);
+    }
+    fixture.clock.advance(seconds(4));
+    answerAll(1);
+    CHECK(picksOf("u1") == 0);
+    CHECK(picksOf("u2") > 0);
+}
--- a/libs/decision/tests/StaleLoadTest.cpp
+++ b/libs/decision/tests/StaleLoadTest.cpp
@@ -139,7 +139,7 @@
             for (int other = 0; other < kInstances; ++other) {
                 if (other != ended.instance) {
                     this->instances[static_cast<std::size_t>(other)]->estimates.load.onOtherEnded(
-                        key, 1);
+                        {static_cast<std::uint32_t>(ended.instance), key, 1});
                 }
             }
         }
--- a/libs/load/include/load/LoadEstimate.h
+++ b/libs/load/include/load/LoadEstimate.h
@@ -13,7 +13,6 @@
 #include <cstdint>
 #include <span>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace basilnotch {
@@ -28,6 +27,16 @@
     Duration measuredPaceLifetime = std::chrono::seconds(10);
     /// Other instances tell of their requests if one has within this time.
     Duration toldInterval = std::chrono::milliseconds(1500);
+    /// The evidence of other instances' results falls to 1/e in this time.
+    Duration resultLifetime = std::chrono::seconds(1);
+    double minFailures = 2;      ///< Faded failures of others from which an upstream is avoided,
+    double maxFailureShare = .5; ///< if they are more than this share of the results.
+    int minGoodToTell = 8;       ///< Good results that are told without a failure.
+    /// An upstream is silent if so many requests were sent longer ago than this, but within the
+    /// window, and it has answered none of any instance since.
+    Duration silence = std::chrono::seconds(3); ///< Longer than reports take to arrive.
+    Duration silenceWindow = std::chrono::seconds(8);
+    int minUnanswered = 3;
     /// Until other instances learn of a request.
     Duration tellingTime = std::chrono::milliseconds(50);
     /// Bounds of a pace. Values beyond them are clamped, values that are no pace are ignored.
@@ -58,6 +67,11 @@
     double uncertainty = 0;
     double unseenArrivals = 0; ///< Expected requests of other instances that are not known of.
     bool isReported = false;
+    /// At least two other instances have seen failures of the upstream, and most of the requests of
+    /// others failed there. Holds until the evidence has faded.
+    bool failsForOthers = false;
+    /// It answers nothing, while other upstreams of the service do.
+    bool isSilent = false;
 
     /// Slots at the usual pace that do the same work.
     double capacity() const { return this->slots * this->pace; }
@@ -74,11 +88,13 @@
     void onEnded(std::uint32_t upstream);
     /// Another instance has sent a request, or requests that it had told of have ended.
     void onOtherSent(std::uint32_t upstream);
-    void onOtherEnded(std::uint32_t upstream, int count);
+    void onOtherEnded(const EndedRequests &ended);
     /// A request of which this instance has told the others has ended; to be told as well.
-    void onToldEnded(std::uint32_t upstream);
-    /// Moves the ended requests that are to be told to `ended`, their upstreams with the counts.
-    void takeEnded(std::vector<std::pair<std::uint32_t, int>> &ended);
+    void onToldEnded(std::uint32_t upstream) { ++this->endedEntry(upstream).count; }
+    /// A request has ended well, or by a failure of the upstream.
+    void onResult(std::uint32_t upstream, bool isGood);
+    /// Moves the ended requests that are to be told to `ended`.
+    void takeEnded(std::vector<EndedRequests> &ended);
     /// The upstream has reported its load with an answer to this instance.
     void onSample(std::uint32_t upstream, const LoadSample &sample);
     /// An answer took `ratio` times as long as the same work takes at other upstreams.
@@ -121,6 +137,13 @@
         std::size_t nextChange = 0;
         TimePoint otherSentAt{};
         TimePoint otherEndedAt{};
+        // Results that other instances tell, faded.
+        double othersGood = 0;
+        double othersFailed = 0;
+        TimePoint resultsAt{};
+        std::uint32_t failureTeller = 0; ///< The last instance that told of a failure.
+        TimePoint otherTellerAt{};       ///< When another one than that told of one before.
+        TimePoint failureToldAt{};
         PeerLoadReport report;      ///< The latest, of any instance. Its pace is within the bounds.
         PeerLoadReport told;        ///< The latest that instances have told each other.
         double logReportedPace = 0; ///< Of `report`; 0 if it has no pace.
@@ -136,12 +159,15 @@
     Changes changesSince(const Entry &entry, TimePoint time) const;
     /// The requests that the last report and the changes since let expect.
     double expectedRequests(const Entry &entry, double endedShare) const;
+    EndedRequests &endedEntry(std::uint32_t upstream);
     void addMeasuredPace(Entry &entry, double pace);
     double measuredLogPace(const Entry &entry) const;
     bool isMaterial(const Entry &entry) const;
     /// The pace within the bounds; 0 if it is none.
     double checkedPace(double pace);
     double pace(const Entry &entry, TimePoint now) const;
+    bool failsForOthers(const Entry &entry, TimePoint now) const;
+    bool isSilent(const Entry &entry, TimePoint now) const;
     static void setReport(Entry &entry, const PeerLoadReport &report);
     const Entry *find(std::uint32_t upstream) const;
 
@@ -154,9 +180,9 @@
         const Entry *entry = nullptr; ///< Null if nothing is known.
         double left = 0; ///< Share of the reported requests that is expected to be still there.
     };
-    mutable std::vector<Known> known;                       ///< Scratch buffer of estimate().
-    std::vector<std::pair<std::uint32_t, int>> endedToTell; ///< At most one for each upstream.
-    std::vector<std::uint32_t> due; ///< Upstreams whose reports are to be passed on.
+    mutable std::vector<Known> known;       ///< Scratch buffer of estimate().
+    std::vector<EndedRequests> endedToTell; ///< At most one for each upstream.
+    std::vector<std::uint32_t> due;         ///< Upstreams whose reports are to be passed on.
     std::int64_t invalid = 0;
 };
 
--- a/libs/load/include/load/PeerLoadReport.h
+++ b/libs/load/include/load/PeerLoadReport.h
@@ -28,7 +28,9 @@
 {
     std::uint32_t instance = 0; ///< Hash of the instance's incarnation.
     std::uint32_t upstream = 0; ///< As in PeerLoadReport.
-    int count = 0;
+    int count = 0;              ///< Of those that other instances know of.
+    int good = 0;               ///< Answered without a failure of the upstream.
+    int failed = 0;             ///< Ended by a failure of the upstream, as this instance saw it.
 };
 
 } // namespace basilnotch
--- a/libs/load/src/LoadEstimate.cpp
+++ b/libs/load/src/LoadEstimate.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace basilnotch {
 
@@ -71,28 +72,82 @@
     entry.otherSentAt = this->clock.now();
 }
 
-void LoadEstimate::onOtherEnded(std::uint32_t upstream, int count)
+void LoadEstimate::onOtherEnded(const EndedRequests &ended)
 {
-    Entry &entry = this->entries[upstream];
-    this->addChange(entry, 0, static_cast<std::int8_t>(-std::clamp(count, 0, kMaxToldEnds)));
-    entry.otherEndedAt = this->clock.now();
+    Entry &entry = this->entries[ended.upstream];
+    const TimePoint now = this->clock.now();
+    if (ended.count > 0) {
+        this->addChange(entry, 0, static_cast<std::int8_t>(-std::min(ended.count, kMaxToldEnds)));
+        entry.otherEndedAt = now;
+    }
+    if (ended.good <= 0 && ended.failed <= 0) {
+        return;
+    }
+    const double left = decay(now - entry.resultsAt, this->options.resultLifetime);
+    entry.othersGood = entry.othersGood * left + std::clamp(ended.good, 0, kMaxToldEnds);
+    entry.othersFailed = entry.othersFailed * left + std::clamp(ended.failed, 0, kMaxToldEnds);
+    entry.resultsAt = now;
+    if (ended.failed > 0) {
+        if (entry.failureTeller != ended.instance) {
+            entry.otherTellerAt = entry.failureToldAt;
+            entry.failureTeller = ended.instance;
+        }
+        entry.failureToldAt = now;
+    }
+}
+
+bool LoadEstimate::failsForOthers(const Entry &entry, TimePoint now) const
+{
+    if (entry.othersFailed == 0) {
+        return false;
+    }
+    // One instance may have a broken link of its own.
+    const bool haveTwoTold = entry.otherTellerAt != TimePoint{}
+        && entry.failureToldAt - entry.otherTellerAt < this->options.resultLifetime;
+    const double left = decay(now - entry.resultsAt, this->options.resultLifetime);
+    return haveTwoTold && entry.othersFailed * left >= this->options.minFailures
+        && entry.othersFailed
+        > this->options.maxFailureShare * (entry.othersFailed + entry.othersGood);
+}
+
+bool LoadEstimate::isSilent(const Entry &entry, TimePoint now) const
+{
+    if (now - entry.report.seenAt < this->options.silence) {
+        return false;
+    }
+    const auto unanswered =
+        std::count_if(entry.changes.begin(), entry.changes.end(), [&](const Change &change) {
+            return change.total > 0 && change.at > entry.report.seenAt
+                && now - change.at > this->options.silence
+                && now - change.at < this->options.silenceWindow;
+        });
+    return unanswered >= this->options.minUnanswered;
 }
 
-void LoadEstimate::onToldEnded(std::uint32_t upstream)
+EndedRequests &LoadEstimate::endedEntry(std::uint32_t upstream)
 {
-    for (auto &[known, count] : this->endedToTell) {
-        if (known == upstream) {
-            ++count;
-            return;
+    for (EndedRequests &known : this->endedToTell) {
+        if (known.upstream == upstream) {
+            return known;
         }
     }
-    this->endedToTell.emplace_back(upstream, 1);
+    return this->endedToTell.emplace_back(EndedRequests{.upstream = upstream});
+}
+
+void LoadEstimate::onResult(std::uint32_t upstream, bool isGood)
+{
+    EndedRequests &entry = this->endedEntry(upstream);
+    ++(isGood ? entry.good : entry.failed);
 }
 
-void LoadEstimate::takeEnded(std::vector<std::pair<std::uint32_t, int>> &ended)
+void LoadEstimate::takeEnded(std::vector<EndedRequests> &ended)
 {
-    ended.insert(ended.end(), this->endedToTell.begin(), this->endedToTell.end());
-    this->endedToTell.clear();
+    const auto isKept = [this](const EndedRequests &item) {
+        return item.count == 0 && item.failed == 0 && item.good < this->options.minGoodToTell;
+    };
+    std::copy_if(this->endedToTell.begin(), this->endedToTell.end(), std::back_inserter(ended),
+                 [&](const EndedRequests &item) { return !isKept(item); });
+    std::erase_if(this->endedToTell, [&](const EndedRequests &item) { return !isKept(item); });
 }
 
 int LoadEstimate::inFlight(std::uint32_t upstream) const
@@ -260,6 +315,7 @@
         auto &[entry, left] = this->known[index];
         load.requests = entry ? entry->inFlight : 0;
         load.pace = entry ? this->pace(*entry, now) : 1;
+        load.failsForOthers = entry && this->failsForOthers(*entry, now);
         load.isReported = entry && entry->isReported;
         load.age = this->options.unknownAge;
         if (load.isReported) {
@@ -289,6 +345,8 @@
             load.requests =
                 load.isReported ? load.requests + (1 - left) * mean : std::max(load.requests, mean);
         }
+        const Entry *entry = this->known[index].entry;
+        load.isSilent = capacity > 0 && entry && this->isSilent(*entry, now);
         // Little's law.
         const double toldLate = std::min(1.0, toSeconds(this->options.tellingTime) * perSecond);
         const double unseen = std::min(1.0, toSeconds(load.age) * perSecond);
--- a/libs/load/tests/LoadEstimateTest.cpp
+++ b/libs/load/tests/LoadEstimateTest.cpp
@@ -170,3 +170,89 @@
     CHECK_FALSE(estimateOf(estimate, kUpstream).isReported);
     CHECK(estimate.inFlight(kUpstream + 1) == 1);
 }
+
+// Load pattern: an upstream fails; each instance would otherwise have to fail there by itself.
+TEST_CASE("an upstream that fails for two other instances is avoided until the evidence fades")
+{
+    ManualClock clock;
+    LoadEstimate estimate({}, clock);
+    const auto tell = [&](std::uint32_t instance, int good, int failed) {
+        estimate.onOtherEnded({instance, kUpstream, 0, good, failed});
+    };
+    tell(1, 0, 5);
+    CHECK_FALSE(
+        estimateOf(estimate, kUpstream).failsForOthers); // Perhaps that instance's own fault.
+    clock.advance(milliseconds(50));
+    tell(2, 0, 1);
+    CHECK(estimateOf(estimate, kUpstream).failsForOthers);
+    clock.advance(seconds(3));
+    CHECK_FALSE(estimateOf(estimate, kUpstream).failsForOthers);
+}
+
+TEST_CASE("an upstream that fails a small share of its requests is not avoided")
+{
+    ManualClock clock;
+    LoadEstimate estimate({}, clock);
+    for (std::uint32_t instance = 1; instance < 60; ++instance) {
+        clock.advance(milliseconds(20));
+        estimate.onOtherEnded({instance, kUpstream, 1, 8, 2});
+        CHECK_FALSE(estimateOf(estimate, kUpstream).failsForOthers);
+    }
+}
+
+TEST_CASE("results are told when one has failed or many were good")
+{
+    ManualClock clock;
+    LoadEstimate estimate({}, clock);
+    std::vector<EndedRequests> ended;
+    estimate.onResult(kUpstream, true);
+    estimate.takeEnded(ended);
+    CHECK(ended.empty());
+    estimate.onResult(kUpstream, false);
+    estimate.takeEnded(ended);
+    REQUIRE(ended.size() == 1);
+    CHECK(ended.front().good == 1);
+    CHECK(ended.front().failed == 1);
+    ended.clear();
+    estimate.onToldEnded(kUpstream);
+    estimate.takeEnded(ended);
+    CHECK(ended.size() == 1);
+}
+
+// Load pattern: an upstream goes dark; it takes requests and answers none, and each instance would
+// otherwise wait for its own timeout.
+TEST_CASE("an upstream that answers no instance is silent, until its requests are long past")
+{
+    ManualClock clock;
+    LoadEstimate estimate({}, clock);
+    const auto play = [&](Duration time) {
+        for (Duration passed{}; passed < time; passed += milliseconds(100)) {
+            clock.advance(milliseconds(100));
+            estimate.onSample(kUpstream + 1, {2, 0, kSlots, {}});
+        }
+    };
+    estimate.onSample(kUpstream, {2, 0, kSlots, {}});
+    play(milliseconds(100));
+    estimate.onSent(kUpstream);
+    estimate.onOtherSent(kUpstream);
+    play(milliseconds(100));
+    estimate.onOtherSent(kUpstream);
+    play(seconds(2));
+    CHECK_FALSE(estimateOf(estimate, kUpstream).isSilent);
+    play(seconds(2));
+    CHECK(estimateOf(estimate, kUpstream).isSilent);
+    play(seconds(6));
+    CHECK_FALSE(estimateOf(estimate, kUpstream).isSilent);
+    // One answer to any instance is enough.
+    for (int count = 0; count < 5; ++count) {
+        estimate.onOtherSent(kUpstream);
+    }
+    play(milliseconds(500));
+    PeerLoadReport report;
+    report.upstream = kUpstream;
+    report.slots = kSlots;
+    report.seenAt = clock.now();
+    estimate.applyReport(report);
+    play(seconds(4));
+    CHECK_FALSE(estimateOf(estimate, kUpstream).isSilent);
+}
