Admission: waiting requests share slots by urgency, workspace and slack

Cause: the queue of an instance knew priority and arrival only. A long rush of urgent requests starved the rest, one workspace could fill the queue, and a caller that came back at once in spite of Retry-After gained by it. Callers that were refused together were told to return together.

Retry-After is spread over half of the expected wait.

Partial (docs/design/admission.md, "Not built"): queues and freed slots are not told between instances; shares and returns hold within an instance.

--- a/kernel/src/relay/RequestRequirements.cpp
+++ b/kernel/src/relay/RequestRequirements.cpp
@@ -85,7 +85,14 @@
     };
     requirements.excludedUpstreams = std::move(excludedUpstreams);
     requirements.priority = request.priority;
+    requirements.workspace = request.workspace;
+    requirements.fingerprint = hash64(request.fingerprint, 0);
     requirements.isEngine = request.engine() != nullptr;
+    if (requirements.isEngine) {
+        requirements.expectedOutput =
+            context.cascade.expectedStreamTime(request.route->name, request.caller.maxOutputTokens,
+                                               request.caller.estimatedOutputTokens);
+    }
     const std::vector<PromptPart> &prompt = request.caller.prompt;
     if (prompt.size() > 1) {
         // The last part is unique to the request; the part before it is shared with the fewest
--- a/kernel/src/relay/UpstreamScheduler.cpp
+++ b/kernel/src/relay/UpstreamScheduler.cpp
@@ -2,9 +2,11 @@
 // cannot take it.
 #include "UpstreamScheduler.h"
 
+#include <base/Hash.h>
 #include <decision/CanaryGroup.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace basilnotch {
@@ -14,6 +16,16 @@
 /// Shared prompts with fewer tokens are not worth announcing to other instances.
 constexpr int kMinAnnouncedTokens = 1000;
 
+/// Callers are told to return within this share of the expected wait after it.
+constexpr double kRetryAfterSpread = 0.5;
+
+/// `hash` as a number from 0 to 1.
+double unitInterval(std::uint64_t hash)
+{
+    return static_cast<double>(hash)
+        / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
 std::uint32_t sharedPromptId(const UpstreamRequirements &requirements)
 {
     return requirements.sharedTokens >= kMinAnnouncedTokens
@@ -152,13 +164,35 @@
     return this->waitEstimators.try_emplace(service, QueueWaitOptions(), this->clock).first->second;
 }
 
-std::size_t UpstreamScheduler::countWaitersAhead(const UpstreamRequirements &requirements) const
+AdmissionQueue &UpstreamScheduler::queue(const std::string &service)
 {
-    return static_cast<std::size_t>(
-        std::count_if(this->waiters.begin(), this->waiters.end(), [&](const Waiter *waiter) {
-            return waiter->requirements.service == requirements.service
-                && waiter->requirements.priority <= requirements.priority;
-        }));
+    return this->queues.try_emplace(service, AdmissionOptions(), this->clock).first->second;
+}
+
+AdmissionRequest UpstreamScheduler::admissionRequest(const UpstreamRequirements &requirements,
+                                                     Duration maxWait)
+{
+    AdmissionRequest request;
+    request.id = ++this->lastRequestId;
+    request.workspace = requirements.workspace;
+    request.priority = requirements.priority;
+    request.cost = requirements.ownWork + requirements.sharedWork + requirements.expectedOutput;
+    request.startBy = this->clock.now() + maxWait;
+    request.fingerprint = requirements.fingerprint;
+    return request;
+}
+
+AcquireResult UpstreamScheduler::refuse(const AdmissionRequest &request, const std::string &service)
+{
+    AdmissionQueue &queue = this->queue(service);
+    // Callers that were refused together must not return together.
+    const Duration earliest = this->waitEstimator(service).retryAfter(queue.ahead(request));
+    const Duration spread =
+        fromSeconds(kRetryAfterSpread * toSeconds(earliest)
+                    * unitInterval(hash64(std::to_string(request.id), request.fingerprint)));
+    const Duration retryAfter = earliest + spread;
+    queue.onRefused(request.fingerprint, retryAfter);
+    return {nullptr, AcquireError::TooBusy, retryAfter};
 }
 
 AcquireResult UpstreamScheduler::acquire(const UpstreamRequirements &requirements, Duration maxWait,
@@ -177,19 +211,16 @@
     if (picked.problem == PickProblem::AllPaused && picked.pauseLeft >= maxWait) {
         return {nullptr, AcquireError::TooBusy, picked.pauseLeft};
     }
-    const std::size_t waitersAhead = this->countWaitersAhead(requirements);
-    const QueueWaitEstimator &estimator = this->waitEstimator(requirements.service);
-    if (estimator.expectedWait(waitersAhead).value_or(Duration::zero()) > maxWait
-        || maxWait <= Duration::zero()) {
-        return {nullptr, AcquireError::TooBusy, estimator.retryAfter(waitersAhead)};
-    }
-    Waiter waiter{requirements, cancelled, {}};
-    auto position = this->waiters.begin();
-    while (position != this->waiters.end()
-           && (*position)->requirements.priority <= requirements.priority) {
-        ++position;
+    const AdmissionRequest request = this->admissionRequest(requirements, maxWait);
+    AdmissionQueue &queue = this->queue(requirements.service);
+    const std::optional<Duration> expectedWait =
+        this->waitEstimator(requirements.service).expectedWait(queue.ahead(request));
+    if (expectedWait.value_or(Duration::zero()) > maxWait || maxWait <= Duration::zero()) {
+        return this->refuse(request, requirements.service);
     }
-    const auto entry = this->waiters.insert(position, &waiter);
+    Waiter waiter{requirements, request, cancelled, {}};
+    queue.push(request);
+    this->waiters[request.id] = &waiter;
     (void)waiter.ready.waitFor(maxWait);
     if (waiter.assigned.upstream) {
         cancelled.reset();
@@ -198,32 +229,43 @@
                 AcquireError::None,
                 {}};
     }
-    this->waiters.erase(entry);
-    return {nullptr, cancelled.isSet() ? AcquireError::Cancelled : AcquireError::TooBusy,
-            this->waitEstimator(requirements.service)
-                .retryAfter(this->countWaitersAhead(requirements))};
+    this->waiters.erase(request.id);
+    queue.remove(request.id);
+    if (cancelled.isSet()) {
+        return {nullptr, AcquireError::Cancelled, {}};
+    }
+    return this->refuse(request, requirements.service);
 }
 
 void UpstreamScheduler::dispatchWaiters()
+{
+    for (auto &[service, queue] : this->queues) {
+        if (queue.size() > 0) {
+            this->dispatchWaiters(queue);
+        }
+    }
+}
+
+void UpstreamScheduler::dispatchWaiters(AdmissionQueue &queue)
 {
     std::vector<SlotRequirements> unmet; // Of waiters that this call has found no slot for.
-    for (auto position = this->waiters.begin(); position != this->waiters.end();) {
-        Waiter &waiter = **position;
+    this->dispatchOrder = queue.order();
+    for (const std::uint64_t id : this->dispatchOrder) {
+        Waiter &waiter = *this->waiters.at(id);
         const UpstreamRequirements &requirements = waiter.requirements;
         SlotRequirements slot{requirements.service, requirements.versions(),
                               requirements.excludedUpstreams};
         if (std::find(unmet.begin(), unmet.end(), slot) != unmet.end()) {
-            ++position;
             continue;
         }
         Pick picked = this->pick(requirements, slot.versions);
         if (picked.upstream) {
             waiter.assigned = std::move(picked);
-            position = this->waiters.erase(position);
+            queue.onServed(id);
+            this->waiters.erase(id);
             waiter.ready.set();
         } else {
             unmet.push_back(std::move(slot));
-            ++position;
         }
     }
 }
--- a/kernel/src/relay/UpstreamScheduler.h
+++ b/kernel/src/relay/UpstreamScheduler.h
@@ -1,6 +1,7 @@
 // Assigns an upstream slot to each request, or queues the request until a slot is free.
 #pragma once
 
+#include <admission/AdmissionQueue.h>
 #include <decision/QueueWaitEstimator.h>
 #include <decision/UpstreamPicker.h>
 #include <runtime/FiberEvent.h>
@@ -8,12 +9,12 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace basilnotch {
@@ -53,7 +54,11 @@
     Duration sharedWork{}; ///< Engine time for the part of the prompt that may be cached.
     int sharedTokens = 0;
     bool isEngine = false;
-    int priority = 0; ///< 0 is the most urgent.
+    int priority = 0;          ///< 0 is the most urgent.
+    std::string workspace;     ///< Waiting requests share slots by workspace.
+    Duration expectedOutput{}; ///< Time to generate the answer at the usual pace.
+    /// Identical when the caller repeats the request; 0 if unknown.
+    std::uint64_t fingerprint = 0;
 };
 
 class UpstreamScheduler;
@@ -149,6 +154,7 @@
     struct Waiter
     {
         const UpstreamRequirements &requirements;
+        const AdmissionRequest request;
         FiberEvent ready; ///< Set when a slot has been assigned or the request cancelled.
         Pick assigned;
     };
@@ -167,8 +173,12 @@
     Pick pick(const UpstreamRequirements &requirements, const VersionFilter &versions);
     Pick pickFrom(std::span<const UpstreamRef> upstreams, const UpstreamRequirements &requirements);
     QueueWaitEstimator &waitEstimator(const std::string &service);
-    /// Number of waiting requests that are served before `requirements`.
-    std::size_t countWaitersAhead(const UpstreamRequirements &requirements) const;
+    AdmissionQueue &queue(const std::string &service);
+    AdmissionRequest admissionRequest(const UpstreamRequirements &requirements, Duration maxWait);
+    /// Assigns free slots to the waiters of one service.
+    void dispatchWaiters(AdmissionQueue &queue);
+    /// The result of a request that gets no slot in time; its caller is expected to return then.
+    AcquireResult refuse(const AdmissionRequest &request, const std::string &service);
 
     const Clock &clock;
     EngineEstimates &engineEstimates;
@@ -177,9 +187,13 @@
     std::shared_ptr<const UpstreamList> list = std::make_shared<UpstreamList>();
     int liveInstances = 1;
     std::int64_t picks = 0;
-    std::list<Waiter *> waiters;         ///< By priority, most urgent first, then by arrival.
-    std::vector<UpstreamRef> candidates; ///< Scratch buffer of pick().
-    std::vector<UpstreamRef> canaries;   ///< Scratch buffer of pick().
+    /// Requests that wait for a slot, by service. Invariant: these are the ids in `waiters`.
+    std::map<std::string, AdmissionQueue> queues;
+    std::unordered_map<std::uint64_t, Waiter *> waiters;
+    std::uint64_t lastRequestId = 0;
+    std::vector<std::uint64_t> dispatchOrder; ///< Scratch buffer of dispatchWaiters().
+    std::vector<UpstreamRef> candidates;      ///< Scratch buffer of pick().
+    std::vector<UpstreamRef> canaries;        ///< Scratch buffer of pick().
     std::map<std::string, QueueWaitEstimator> waitEstimators; ///< By service.
 };
 
--- a/kernel/tests/UpstreamSchedulerTest.cpp
+++ b/kernel/tests/UpstreamSchedulerTest.cpp
@@ -166,3 +166,41 @@
         }
     });
 }
+
+// Load pattern: one workspace fills the queue before another sends its first request.
+TEST_CASE("a freed slot goes to the workspace that has had less, whoever came first")
+{
+    inFiber([](FiberRuntime &runtime) {
+        SchedulerFixture fixture;
+        fixture.setUpstreams({upstream("e", "v1")});
+        FiberEvent cancelled;
+        AcquireResult running =
+            fixture.scheduler.acquire(fixture.requirements(), seconds(1), cancelled);
+        REQUIRE(running.lease);
+        std::vector<std::string> served;
+        const auto send = [&](const std::string &workspace) {
+            runtime.spawn([&, workspace] {
+                UpstreamRequirements requirements = fixture.requirements();
+                requirements.workspace = workspace;
+                requirements.ownWork = milliseconds(300);
+                const FiberEvent ownCancelled;
+                const AcquireResult result =
+                    fixture.scheduler.acquire(requirements, seconds(5), ownCancelled);
+                if (result.lease) {
+                    served.push_back(workspace);
+                }
+            });
+        };
+        for (int number = 0; number < 5; ++number) {
+            send("hot");
+        }
+        send("other");
+        runtime.sleepFor(milliseconds(5));
+        CHECK(fixture.scheduler.waiterCount() == 6);
+        running.lease.reset();
+        runtime.sleepFor(milliseconds(20));
+        REQUIRE(served.size() == 6);
+        CHECK(served[1] == "other");
+        CHECK(fixture.scheduler.waiterCount() == 0);
+    });
+}
--- a/libs/decision/include/decision/AnswerCascade.h
+++ b/libs/decision/include/decision/AnswerCascade.h
@@ -97,6 +97,9 @@
     /// an engine generates the tokens of all models in turn, so each stream shows the engine's
     /// load. Samples below 12 tokens are ignored.
     void onStreamRate(Duration duration, int tokens);
+    /// Expected time to generate an answer; zero until streams have been measured.
+    Duration expectedStreamTime(const std::string &route, int maxOutputTokens,
+                                int estimatedOutputTokens) const;
     /// Updates and returns the current price: the worth of one unit of work of the largest model.
     double price();
     double goodAnswerProbability(int confidence) const;
--- a/libs/decision/src/AnswerCascade.cpp
+++ b/libs/decision/src/AnswerCascade.cpp
@@ -112,6 +112,18 @@
         + std::chrono::duration_cast<Duration>(output * this->meanTimePerToken);
 }
 
+Duration AnswerCascade::expectedStreamTime(const std::string &route, int maxOutputTokens,
+                                           int estimatedOutputTokens) const
+{
+    CascadeRequest request;
+    request.maxOutputTokens = maxOutputTokens;
+    request.estimatedOutputTokens = estimatedOutputTokens;
+    const auto sizes = this->routes.find(route);
+    const double output =
+        this->expectedOutput(request, sizes == this->routes.end() ? RouteSizes() : sizes->second);
+    return std::chrono::duration_cast<Duration>(output * this->meanTimePerToken);
+}
+
 void AnswerCascade::onAnswered(const std::string &route, int promptTokens, int maxOutputTokens,
                                int tokens, Duration timeAllowed)
 {
