--- a/libs/load/include/load/LoadEstimate.h
+++ b/libs/load/include/load/LoadEstimate.h
@@ -21,9 +21,10 @@
 {
     /// Age that an upstream without a report is taken to have.
     Duration unknownAge = std::chrono::milliseconds(1500);
-    /// The weight of a reported pace, which changes several times a second, falls to 1/e in this
-    /// time in favour of the usual pace; that of a measured one in the next.
-    Duration paceLifetime = std::chrono::milliseconds(500);
+    /// The weight of a reported pace, which changes several times a second, falls to zero in this
+    /// time in favour of the usual pace.
+    Duration paceLifetime = std::chrono::seconds(1);
+    /// The weight of a measured pace falls to 1/e in this time.
     Duration measuredPaceLifetime = std::chrono::seconds(10);
     /// Other instances tell of their requests if one has within this time.
     Duration toldInterval = std::chrono::milliseconds(1500);
--- a/libs/load/src/LoadEstimate.cpp
+++ b/libs/load/src/LoadEstimate.cpp
@@ -274,9 +274,10 @@
 double LoadEstimate::pace(const Entry &entry, TimePoint now) const
 {
     double logPace = this->measuredLogPace(entry);
-    if (entry.logReportedPace != 0) {
+    const Duration age = now - entry.report.seenAt;
+    if (entry.logReportedPace != 0 && age < this->options.paceLifetime) {
         logPace +=
-            entry.logReportedPace * decay(now - entry.report.seenAt, this->options.paceLifetime);
+            entry.logReportedPace * (1 - toSeconds(age) / toSeconds(this->options.paceLifetime));
     }
     return logPace == 0
         ? 1
