--- a/libs/load/include/load/LoadEstimate.h
+++ b/libs/load/include/load/LoadEstimate.h
@@ -51,6 +51,9 @@
     double paceSmoothing = 0.2;
     /// How long an upstream without requests and news is remembered.
     Duration retention = std::chrono::seconds(30);
+    /// A measured pace counts only as far as its logarithm exceeds this: single answers differ much
+    /// more than upstreams do.
+    double paceNoise = 0.2;
     /// Instances send at the same moment without knowing of each other, however fresh the reports.
     Duration minAge = std::chrono::milliseconds(30);
 };
@@ -163,6 +166,8 @@
     EndedRequests &endedEntry(std::uint32_t upstream);
     void addMeasuredPace(Entry &entry, double pace);
     double measuredLogPace(const Entry &entry) const;
+    /// The part of the measured pace that isn't noise.
+    double significantLogPace(const Entry &entry) const;
     bool isMaterial(const Entry &entry) const;
     /// The pace within the bounds; 0 if it is none.
     double checkedPace(double pace);
--- a/libs/load/src/LoadEstimate.cpp
+++ b/libs/load/src/LoadEstimate.cpp
@@ -271,9 +271,16 @@
     this->due.clear();
 }
 
+double LoadEstimate::significantLogPace(const Entry &entry) const
+{
+    const double measured = this->measuredLogPace(entry);
+    const double excess = std::max(0.0, std::abs(measured) - this->options.paceNoise);
+    return std::copysign(excess, measured);
+}
+
 double LoadEstimate::pace(const Entry &entry, TimePoint now) const
 {
-    double logPace = this->measuredLogPace(entry);
+    double logPace = this->significantLogPace(entry);
     const Duration age = now - entry.report.seenAt;
     if (entry.logReportedPace != 0 && age < this->options.paceLifetime) {
         logPace +=
--- a/libs/load/tests/LoadEstimateTest.cpp
+++ b/libs/load/tests/LoadEstimateTest.cpp
@@ -4,7 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
 #include <limits>
+#include <random>
 
 using namespace basilnotch;
 using std::chrono::milliseconds;
@@ -256,3 +258,24 @@
     play(seconds(4));
     CHECK_FALSE(estimateOf(estimate, kUpstream).isSilent);
 }
+
+// Load pattern: answers of equal upstreams take times that differ by half or more.
+TEST_CASE("answers that differ by chance do not make an upstream slow")
+{
+    ManualClock clock;
+    LoadEstimate estimate({}, clock);
+    std::mt19937_64 random(3);
+    std::normal_distribution<double> logRatio(0, 0.4);
+    int different = 0;
+    constexpr int kAnswers = 500;
+    for (int count = 0; count < kAnswers; ++count) {
+        clock.advance(milliseconds(100));
+        estimate.onSample(kUpstream, {4, 0, kSlots, {}});
+        estimate.onServiceTime(kUpstream, std::exp(logRatio(random)));
+        const double pace = estimateOf(estimate, kUpstream).pace;
+        CHECK(pace > 0.75);
+        CHECK(pace < 1.35);
+        different += pace != 1 ? 1 : 0;
+    }
+    CHECK(different < kAnswers / 3);
+}
