--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -334,7 +334,7 @@
 
 HedgedSend::Answer RequestForwarder::open(const Attempt &attempt, CallCanceller &sendCanceller)
 {
-    const UpstreamLease &lease = attempt.lease;
+    UpstreamLease &lease = attempt.lease;
     const UpstreamRecord &upstream = lease.upstream();
     ForwardOptions forwardOptions;
     forwardOptions.upstreamId = upstream.id;
--- a/libs/decision/src/UpstreamPicker.cpp
+++ b/libs/decision/src/UpstreamPicker.cpp
@@ -6,6 +6,7 @@
 #include <base/Hash.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 
@@ -18,6 +19,9 @@
     return std::chrono::duration<double, std::milli>(value).count();
 }
 
+/// An engine with more queued prefills may be silent without a fault.
+constexpr Duration kMaxAheadOfSilent = std::chrono::seconds(1);
+
 bool contains(std::span<const std::string> ids, std::string_view id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -96,7 +100,8 @@
     }
     item.ms *= 1 + 2 * state.health.smoothedFailureRatio();
     const bool hasProbeInFlight = state.health.isProbing() && state.inFlight > 0;
-    item.isHealthy = !state.health.isPaused() && !hasProbeInFlight;
+    item.isHealthy = !state.health.isPaused() && !hasProbeInFlight && !load.failsForOthers
+        && !(load.isSilent && item.ahead < kMaxAheadOfSilent);
     item.isFull = load.requests >= std::max(1.0, this->options.maxSlotShare * upstream->slots);
     return item;
 }
@@ -295,12 +300,22 @@
     return {*picked->upstream, PickProblem::None, picked->work, picked->ahead, source, {}};
 }
 
+UpstreamLoad UpstreamPicker::loadOf(const UpstreamRecord &upstream, int liveInstances)
+{
+    std::array<UpstreamLoad, 1> loads{{{this->state(upstream).backlogKey, upstream.slots}}};
+    this->engineEstimates.load.estimate(loads, this->holdTime(this->serviceTimes(upstream)),
+                                        liveInstances);
+    return loads.front();
+}
+
 bool UpstreamPicker::isLessLoaded(const UpstreamRecord &upstream, const UpstreamRecord &other,
                                   int liveInstances)
 {
-    const double load = this->load(this->state(upstream), liveInstances);
-    const double otherLoad = this->load(this->state(other), liveInstances);
-    return load * std::max(1, other.slots) < otherLoad * std::max(1, upstream.slots);
+    const auto usedShare = [&](const UpstreamRecord &record) {
+        const UpstreamLoad load = this->loadOf(record, liveInstances);
+        return load.requests / (std::max(1, record.slots) * load.pace);
+    };
+    return usedShare(upstream) < usedShare(other);
 }
 
 CandidateExplanation UpstreamPicker::explainCandidate(const UpstreamRef &upstream,
@@ -309,13 +324,15 @@
     CandidateExplanation item;
     item.upstream = upstream;
     const State &state = this->state(*upstream);
-    item.load = this->load(state, query.liveInstances);
+    item.load = this->loadOf(*upstream, query.liveInstances).requests;
     item.failureRatio = state.health.smoothedFailureRatio();
     item.pauseLeft = this->notices.pauseLeft(*upstream).value_or(Duration::zero());
     if (contains(query.avoid, upstream->id)) {
         item.leftOut = "has failed this request";
     } else if (!this->notices.acceptsRequests(*upstream)) {
         item.leftOut = item.pauseLeft > Duration::zero() ? "paused" : "leaving";
+    } else if (!this->mayServe(*upstream, query)) {
+        item.leftOut = "warming up";
     }
     const auto scored =
         std::find_if(this->scored.begin(), this->scored.end(),
@@ -380,6 +397,9 @@
     this->fade(times);
     times.inFlight = std::max(0, times.inFlight - 1);
     ++times.ended;
+    if (result) {
+        this->engineEstimates.load.onResult(state.backlogKey, *result == AttemptResult::Good);
+    }
     return result && state.health.onResult(*result);
 }
 
