The old version serves the share of a new one that warms up; no clock in decisions while nothing is cold

Cause: a version that roll-outs bring in starts cold during traffic. Nine of 91 instances may send to each of its upstreams; requests of its share at the others waited for seconds or were refused although the old version had room. Besides, each candidate cost a reading of the clock in every decision, on deployments without rates too.

Change: if the new version's upstreams warm up and none may get the request, the pick falls back to the versions that the roll-out leaves open otherwise. The limiter remembers that nothing is cold.

Tests: UpstreamScheduler, warmup.

--- a/kernel/src/relay/RequestRequirements.cpp
+++ b/kernel/src/relay/RequestRequirements.cpp
@@ -66,7 +66,10 @@
     if (!usesNewVersion) {
         return {.excludedVersions = state.blockedVersions()};
     }
-    return {.onlyVersion = state.toVersion, .share = share, .rolloutOrder = state.order};
+    return {.onlyVersion = state.toVersion,
+            .excludedVersions = state.blockedVersions(),
+            .share = share,
+            .rolloutOrder = state.order};
 }
 
 } // namespace
--- a/kernel/src/relay/UpstreamScheduler.cpp
+++ b/kernel/src/relay/UpstreamScheduler.cpp
@@ -5,6 +5,7 @@
 #include <decision/CanaryGroup.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace basilnotch {
@@ -132,6 +133,9 @@
     if (!picked.upstream) {
         picked = this->pickFrom(this->candidates, requirements);
     }
+    if (picked.problem == PickProblem::AllPaused && this->selectStandIns(ready, versions)) {
+        picked = this->pickFrom(this->candidates, requirements);
+    }
     if (picked.upstream) {
         this->picker.onSent(*picked.upstream, picked.work);
         this->listener.backlogChanged();
@@ -139,6 +143,22 @@
     return picked;
 }
 
+bool UpstreamScheduler::selectStandIns(const std::vector<UpstreamRef> &ready,
+                                       const VersionFilter &versions)
+{
+    const bool warmsUp = versions.share < 1
+        && std::any_of(this->candidates.begin(), this->candidates.end(),
+                       [this](const UpstreamRef &item) { return this->warmup.isCold(*item); });
+    if (!warmsUp) {
+        return false;
+    }
+    const VersionFilter others{.excludedVersions = versions.excludedVersions};
+    this->candidates.clear();
+    std::copy_if(ready.begin(), ready.end(), std::back_inserter(this->candidates),
+                 [&](const UpstreamRef &item) { return others.allows(*item); });
+    return true;
+}
+
 Pick UpstreamScheduler::pickFrom(std::span<const UpstreamRef> upstreams,
                                  const UpstreamRequirements &requirements)
 {
--- a/kernel/src/relay/UpstreamScheduler.h
+++ b/kernel/src/relay/UpstreamScheduler.h
@@ -21,8 +21,10 @@
 /// The versions of a service that a request may use during a roll-out.
 struct VersionFilter
 {
-    std::string onlyVersion;                   ///< Empty: all versions but the excluded ones.
-    std::vector<std::string> excludedVersions; ///< Versions that receive no requests.
+    std::string onlyVersion; ///< Empty: all versions but the excluded ones.
+    /// Versions that receive no requests; with `onlyVersion`, those that don't stand in for it
+    /// while it warms up.
+    std::vector<std::string> excludedVersions;
     /// Share of the work that `onlyVersion` receives while the old version is in use; 1 afterwards.
     double share = 1;
     /// Order number of the roll-out; seeds the choice of the upstreams that serve the share.
@@ -167,6 +169,9 @@
 
     /// Chooses an upstream and reserves the slot.
     Pick pick(const UpstreamRequirements &requirements, const VersionFilter &versions);
+    /// Upstreams of versions that may stand in for `versions.onlyVersion`, into `candidates`, if
+    /// that one warms up; returns whether it does.
+    bool selectStandIns(const std::vector<UpstreamRef> &ready, const VersionFilter &versions);
     Pick pickFrom(std::span<const UpstreamRef> upstreams, const UpstreamRequirements &requirements);
     /// The result for a service without upstreams that may be sent to.
     AcquireResult noUpstream(const std::string &service) const;
--- a/kernel/tests/UpstreamSchedulerTest.cpp
+++ b/kernel/tests/UpstreamSchedulerTest.cpp
@@ -213,3 +213,31 @@
         results.clear();
     });
 }
+
+// The load: a new version starts cold with a tenth of the requests; this instance may send it none.
+TEST_CASE("while a new version warms up, the old one serves its share")
+{
+    inFiber([](FiberRuntime &) {
+        SchedulerFixture fixture;
+        fixture.warmup.setRates({{"models", {1, seconds(3)}}});
+        const auto starting = [&](const std::string &id, const std::string &version,
+                                  Duration coldLeft) {
+            UpstreamRecord record = *upstream(id, version);
+            record.coldLeft = coldLeft;
+            record.heardAt = fixture.clock.now();
+            return std::make_shared<const UpstreamRecord>(std::move(record));
+        };
+        fixture.setUpstreams({starting("bad", "v0", {}), starting("old", "v1", {}),
+                              starting("new", "v2", seconds(3))});
+        fixture.versions = {.onlyVersion = "v2", .excludedVersions = {"v0", "v2"}, .share = 0.1};
+        FiberEvent cancelled;
+        const auto servedBy = [&] {
+            const AcquireResult result =
+                fixture.scheduler.acquire(fixture.requirements(), seconds(1), cancelled);
+            return result.lease ? result.lease->upstream().id : std::string("nobody");
+        };
+        CHECK(servedBy() == "old");
+        fixture.clock.advance(seconds(4));
+        CHECK(servedBy() == "new");
+    });
+}
--- a/libs/warmup/include/warmup/WarmupLimiter.h
+++ b/libs/warmup/include/warmup/WarmupLimiter.h
@@ -104,6 +104,8 @@
     std::uint64_t revision = 1;       ///< Grows when shares may have changed.
     std::map<std::string, State, std::less<>> states; ///< Of upstreams with a rate, by id.
     TimePoint anyColdUntil{}; ///< Invariant: no upstream is cold at this time or later.
+    /// False when anyColdUntil has passed, so that most decisions don't read the clock.
+    mutable bool anyCold = false;
     std::int64_t refused = 0;
 };
 
--- a/libs/warmup/src/WarmupLimiter.cpp
+++ b/libs/warmup/src/WarmupLimiter.cpp
@@ -85,6 +85,7 @@
 {
     this->anyColdUntil =
         std::max(this->anyColdUntil, std::max(state.coldUntil, state.suspectUntil));
+    this->anyCold = this->clock.now() < this->anyColdUntil;
 }
 
 const WarmupRate *WarmupLimiter::rateOf(std::string_view service) const
@@ -112,12 +113,8 @@
 
 bool WarmupLimiter::isCold(const UpstreamRecord &upstream) const
 {
-    const TimePoint now = this->clock.now();
-    if (now >= this->anyColdUntil) {
-        return false;
-    }
     const State *state = this->find(upstream);
-    return state && this->isColdAt(*state, now);
+    return state && this->isColdAt(*state, this->clock.now());
 }
 
 std::size_t WarmupLimiter::coldCount() const
@@ -164,11 +161,12 @@
 
 bool WarmupLimiter::mayAssign(const UpstreamRecord &upstream) const
 {
-    const TimePoint now = this->clock.now();
-    if (now >= this->anyColdUntil) {
+    if (!this->anyCold) {
         return true;
     }
-    const State *state = this->find(upstream);
+    const TimePoint now = this->clock.now();
+    this->anyCold = now < this->anyColdUntil;
+    const State *state = this->anyCold ? this->find(upstream) : nullptr;
     if (!state || !this->isColdAt(*state, now)) {
         return true;
     }
