Check MessagePack for depth and size before it is parsed

A message of 200,000 arrays in each other at the peer port ended the process: the parser recurses, on the 128 KB stack of a fiber. isBoundedMessagePack reads the heads of values only, without recursion, and refuses text that is nested deeper than 16, has more than 200,000 items or ends early; the decoders of gossip, members, backlog, roll-outs and peers' payloads ask it first.

--- a/kernel/src/control/PeerPayloads.cpp
+++ b/kernel/src/control/PeerPayloads.cpp
@@ -2,6 +2,8 @@
 // an error instead of an exception, because the peer may run another release.
 #include "PeerPayloads.h"
 
+#include <base/MessagePack.h>
+
 #include <nlohmann/json.hpp>
 
 namespace basilnotch {
@@ -27,6 +29,9 @@
 template <typename Value, typename Read>
 absl::StatusOr<Value> decodePayload(std::string_view what, std::string_view payload, Read read)
 {
+    if (!isBoundedMessagePack(payload)) {
+        return malformedPayload(what);
+    }
     const json parsed = json::from_msgpack(payload, true, false);
     if (parsed.is_discarded()) {
         return malformedPayload(what);
--- a/kernel/src/relay/BacklogMessage.cpp
+++ b/kernel/src/relay/BacklogMessage.cpp
@@ -2,6 +2,8 @@
 // [[prompt, upstream], ...]].
 #include "BacklogMessage.h"
 
+#include <base/MessagePack.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -56,7 +58,9 @@
 {
     const absl::Status malformed =
         failure(absl::StatusCode::kDataLoss, "read backlog", "peer", "malformed message");
-    const nlohmann::json envelope = nlohmann::json::from_msgpack(datagram, true, false);
+    const nlohmann::json envelope = isBoundedMessagePack(datagram)
+        ? nlohmann::json::from_msgpack(datagram, true, false)
+        : nlohmann::json();
     const bool ok = envelope.is_array() && envelope.size() == kMessageFields
         && envelope[0] == kFormatVersion && envelope[1].is_number_unsigned()
         && envelope[1].get<unsigned>() <= static_cast<unsigned>(BacklogStage::ToMembers)
--- a/kernel/src/site/RolloutMessage.cpp
+++ b/kernel/src/site/RolloutMessage.cpp
@@ -1,6 +1,8 @@
 // Messages are MessagePack arrays, encoded by nlohmann::json as in gossip.
 #include "RolloutMessage.h"
 
+#include <base/MessagePack.h>
+
 #include <nlohmann/json.hpp>
 
 #include <optional>
@@ -102,7 +104,7 @@
 
 absl::StatusOr<RolloutMessage> decodeRolloutMessage(std::string_view text)
 {
-    const Json value = Json::from_msgpack(text, true, false);
+    const Json value = isBoundedMessagePack(text) ? Json::from_msgpack(text, true, false) : Json();
     RolloutMessage message;
     const bool ok = isArrayOf(value, kMessageFields) && value[0].is_array() && value[1].is_array()
         && readAll(value[0], readReport, &message.reports)
--- a/libs/membership/src/Codec.cpp
+++ b/libs/membership/src/Codec.cpp
@@ -2,6 +2,8 @@
 // installed beside Boost 1.81 in Debian; this is its nearest kin.)
 #include <membership/Gossip.h>
 
+#include <base/MessagePack.h>
+
 #include <nlohmann/json.hpp>
 
 namespace basilnotch {
@@ -34,7 +36,9 @@
 {
     const absl::Status malformed =
         failure(absl::StatusCode::kDataLoss, "read gossip", "peer", "malformed message");
-    const nlohmann::json envelope = nlohmann::json::from_msgpack(text, true, false);
+    const nlohmann::json envelope = isBoundedMessagePack(text)
+        ? nlohmann::json::from_msgpack(text, true, false)
+        : nlohmann::json();
     const bool ok = envelope.is_array() && envelope.size() == kEnvelopeFields
         && envelope[0] == kEnvelopeVersion && envelope[1].is_string()
         && envelope[2].is_number_unsigned() && envelope[3].is_number_unsigned()
--- a/libs/membership/src/MemberTable.cpp
+++ b/libs/membership/src/MemberTable.cpp
@@ -1,6 +1,8 @@
 // Members as MessagePack arrays (nlohmann's codec), kept short because they are sent often.
 #include <membership/MemberTable.h>
 
+#include <base/MessagePack.h>
+
 #include <nlohmann/json.hpp>
 
 namespace basilnotch {
@@ -33,7 +35,9 @@
 
 absl::StatusOr<Member> readMember(const Rumor &rumor)
 {
-    const nlohmann::json fields = nlohmann::json::from_msgpack(rumor.payload, true, false);
+    const nlohmann::json fields = isBoundedMessagePack(rumor.payload)
+        ? nlohmann::json::from_msgpack(rumor.payload, true, false)
+        : nlohmann::json();
     Member member;
     const bool ok = fields.is_array() && fields.size() == kMemberFields && fields[0].is_string()
         && fields[1].is_string() && fields[2].is_string() && fields[3].is_string()
