One account of the bytes held for callers, and connections that yield

A body was kept three times.

HttpServer reserves before it reads, closes what stands still for who moves, waits with the socket unread, and refuses with 503, a Retry-After and nothing run; a full server closes the connection that is slowest with its request for a new one. Buffers are bounded; a refused body is dropped for a second, so that the refusal arrives; trailers are no headers of a request any more. HttpClient sends a body from where it lies and reserves an answer before it reads it.

The tests' settings now give the instance the memory of the bound, 120 MB; crowd and bounds are as they were.

--- a/kernel/src/EntryProcess.cpp
+++ b/kernel/src/EntryProcess.cpp
@@ -4,6 +4,9 @@
 #include "control/ControlThread.h"
 #include "traffic/TrafficThread.h"
 
+#include <memory/MemoryAccount.h>
+#include <memory/ProcessLimits.h>
+
 #include <glog/logging.h>
 
 #include <csignal>
@@ -32,11 +35,15 @@
     explicit Impl(Settings initialSettings)
         : settings(std::move(initialSettings))
         , spans(static_cast<std::size_t>(this->settings.traces.bufferedSpans))
+        , limits(
+              processLimits(this->settings.limits.memoryMb, this->settings.limits.maxDescriptors))
+        , memory(memoryBudget(this->limits.memoryBytes))
         , control(this->settings, this->clock, this->metrics, this->spans)
     {
         for (int number = 0; number < this->settings.trafficThreads; ++number) {
             this->traffic.push_back(std::make_unique<TrafficThread>(
-                this->settings, this->clock, this->metrics, this->spans, this->control, number));
+                this->settings, this->clock, this->metrics, this->spans, this->control,
+                this->memory, this->limits, number));
         }
     }
 
@@ -82,6 +89,8 @@
     SystemClock clock;
     Metrics metrics;
     SpanBuffer spans;
+    const ProcessLimits limits;
+    MemoryAccount memory; ///< Of all traffic threads.
     ControlThread control;
     std::vector<std::unique_ptr<TrafficThread>> traffic;
 };
--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -322,13 +322,15 @@
     options.isStillWanted = [this, &upstream] {
         return !this->isWithdrawn && !this->exchange.callerGone() && this->isInUse(upstream);
     };
+    options.body = this->request.http->body;
+    const HttpRequest head{this->request.http->method, this->request.http->target,
+                           this->request.http->headers, ""};
     ++this->connectAttempts;
     this->currentAttempt = &attempt;
     this->executionTracker.onSend();
     const absl::StatusOr<std::unique_ptr<HttpStream>> answer = this->context.client.open(
-        upstream.endpoint,
-        this->context.requestCodec.toUpstreamRequest(*this->request.http, forwardOptions), options,
-        &this->canceller);
+        upstream.endpoint, this->context.requestCodec.toUpstreamRequest(head, forwardOptions),
+        options, &this->canceller);
     if (!answer.ok() && sendProgress(answer.status()) == SendProgress::NothingSent) {
         this->executionTracker.onNotExecuted();
         this->lastError = "no connection to the upstream";
@@ -647,7 +649,8 @@
 RequestForwarder::AttemptOutcome RequestForwarder::relayBuffered(Attempt &attempt,
                                                                  HttpStream &answer)
 {
-    absl::StatusOr<std::string> body = answer.readAll(this->timeLeft(), kMaxBufferedAnswerBytes);
+    absl::StatusOr<std::string> body =
+        answer.readAll(this->timeLeft(), kMaxBufferedAnswerBytes, &this->exchange.answerMemory());
     if (!body.ok()) {
         return this->onAttemptFailed(attempt, body.status());
     }
--- a/kernel/src/relay/SiteHandlers.cpp
+++ b/kernel/src/relay/SiteHandlers.cpp
@@ -24,6 +24,8 @@
 constexpr Duration kStartupPollInterval = milliseconds(5);
 /// By then the next attempt to confirm the configuration has been made.
 constexpr Duration kRetryAfterUnconfirmed = milliseconds(500);
+/// A body waits for memory for longer than others take to be sent on.
+constexpr Duration kRetryAfterNoMemory = seconds(1);
 constexpr std::int64_t kNeverConfirmed = -1; ///< In the log.
 
 } // namespace
@@ -118,7 +120,9 @@
     this->malformedRequests.add();
     this->context.log.write(LogKind::Failure, "request malformed",
                             {{"reason", text}, {"status", std::int64_t{status}}});
-    return this->context.requestCodec.refusal(status, text, std::nullopt);
+    const bool mayRetry = status == status::kUnavailable;
+    return this->context.requestCodec.refusal(
+        status, text, mayRetry ? std::optional<Duration>(kRetryAfterNoMemory) : std::nullopt);
 }
 
 void DirectoryHandler::handle(HttpExchange &exchange)
--- a/kernel/src/relay/SiteServer.cpp
+++ b/kernel/src/relay/SiteServer.cpp
@@ -11,6 +11,8 @@
 #include "site/SiteControl.h"
 
 #include <base/Hash.h>
+#include <memory/MemoryAccount.h>
+#include <memory/ProcessLimits.h>
 #include <runtime/FiberRuntime.h>
 
 #include <atomic>
@@ -21,6 +23,7 @@
 namespace {
 
 constexpr Duration kMaintenanceInterval = milliseconds(50);
+constexpr Duration kTurnedAwayLogInterval = seconds(1);
 /// An event loop that is this late delays answers, and notices callers that leave too late.
 constexpr Duration kOverloadDelay = milliseconds(100);
 /// Time to receive a body after its header.
@@ -33,20 +36,24 @@
 constexpr Duration kUnstatedIdleAge = milliseconds(400);
 constexpr int kMaxIdlePerUpstream = 6; // Per instance; more are rarely needed at once.
 
-HttpServerOptions callerOptions(const SiteSettings &settings)
+HttpServerOptions callerOptions(const SiteSettings &settings, const ProcessLimits &limits,
+                                MemoryAccount &memory)
 {
     HttpServerOptions options;
     options.listen = settings.callers;
-    options.maxConnections = settings.maxConnections;
+    options.maxConnections = limits.callerConnections(settings.maxConnections);
+    options.memory = &memory;
     return options;
 }
 
-HttpServerOptions auxiliaryOptions(const Endpoint &listen)
+HttpServerOptions auxiliaryOptions(const Endpoint &listen, int maxConnections,
+                                   MemoryAccount &memory)
 {
     HttpServerOptions options;
     options.listen = listen;
-    options.maxConnections = 256;
+    options.maxConnections = maxConnections;
     options.bounds.bodyBytes = 4096;
+    options.memory = &memory;
     return options;
 }
 
@@ -85,7 +92,9 @@
 {
     Impl(const SiteSettings &settings, const SiteAdapter &adapter, const Clock &clock,
          EventLog &log, Metrics &metrics, SiteControl &control)
-        : client(this->runtime, upstreamClientOptions())
+        : limits(processLimits(settings.memoryMb, settings.maxDescriptors))
+        , memory(memoryBudget(this->limits.memoryBytes))
+        , client(this->runtime, upstreamClientOptions())
         , engineEstimates{{{}, static_cast<std::uint32_t>(hash64(control.incarnation())), clock},
                           {{}, clock}}
         , gossip(this->runtime, settings.instance, settings.peers, this->engineEstimates, metrics)
@@ -117,10 +126,20 @@
         , directory(this->context, hash64(settings.instance, 3))
         , readiness(this->context)
         , metricsHandler(this->context)
-        , callers(this->runtime, callerOptions(settings), this->relayHandler)
-        , directoryServer(this->runtime, auxiliaryOptions(settings.directory), this->directory)
-        , readinessServer(this->runtime, auxiliaryOptions(settings.health), this->readiness)
-        , metricsServer(this->runtime, auxiliaryOptions(settings.metrics), this->metricsHandler)
+        , callers(this->runtime, callerOptions(settings, this->limits, this->memory),
+                  this->relayHandler)
+        , directoryServer(this->runtime,
+                          auxiliaryOptions(settings.directory, this->limits.directoryConnections(),
+                                           this->memory),
+                          this->directory)
+        , readinessServer(
+              this->runtime,
+              auxiliaryOptions(settings.health, this->limits.operatorConnections(), this->memory),
+              this->readiness)
+        , metricsServer(
+              this->runtime,
+              auxiliaryOptions(settings.metrics, this->limits.operatorConnections(), this->memory),
+              this->metricsHandler)
     {
         SiteListener listener;
         listener.viewChanged = [this] { this->runtime.post([this] { this->applyView(); }); };
@@ -166,6 +185,47 @@
         }
     }
 
+    /// Publishes what the servers have turned away, and logs it once in a while.
+    void reportTurnedAway()
+    {
+        HttpServerStats sum;
+        for (const HttpServer *server : {&this->callers, &this->directoryServer,
+                                         &this->readinessServer, &this->metricsServer}) {
+            const HttpServerStats stats = server->stats();
+            sum.openConnections += stats.openConnections;
+            sum.refusedConnections += stats.refusedConnections;
+            sum.yieldedConnections += stats.yieldedConnections;
+            sum.yieldedBodies += stats.yieldedBodies;
+            sum.refusedBodies += stats.refusedBodies;
+        }
+        Metrics &metrics = this->context.metrics;
+        const std::int64_t forRequests = this->memory.held(MemoryPurpose::Requests);
+        const std::int64_t forAnswers = this->memory.held(MemoryPurpose::Answers);
+        metrics.counter("connections_open").set(sum.openConnections);
+        metrics.counter("connections_refused_total").set(sum.refusedConnections);
+        metrics.counter("connections_yielded_total").set(sum.yieldedConnections);
+        metrics.counter("bodies_yielded_total").set(sum.yieldedBodies);
+        metrics.counter("bodies_refused_total").set(sum.refusedBodies);
+        metrics.counter("request_bytes_held").set(forRequests);
+        metrics.counter("answer_bytes_held").set(forAnswers);
+        const std::int64_t turnedAway =
+            sum.refusedConnections + sum.yieldedConnections + sum.yieldedBodies + sum.refusedBodies;
+        const TimePoint now = this->context.clock.now();
+        if (turnedAway == this->loggedTurnedAway || now - this->loggedAt < kTurnedAwayLogInterval) {
+            return;
+        }
+        this->loggedTurnedAway = turnedAway;
+        this->loggedAt = now;
+        this->context.log.write(LogKind::Failure, "callers turned away",
+                                {{"connectionsOpen", std::int64_t{sum.openConnections}},
+                                 {"connectionsRefused", sum.refusedConnections},
+                                 {"connectionsYielded", sum.yieldedConnections},
+                                 {"bodiesYielded", sum.yieldedBodies},
+                                 {"bodiesRefused", sum.refusedBodies},
+                                 {"requestBytes", forRequests},
+                                 {"answerBytes", forAnswers}});
+    }
+
     void runMaintenance()
     {
         LatencyHistogram &loopDelay = this->context.metrics.histogram("event_loop_delay_seconds");
@@ -176,6 +236,7 @@
             this->scheduler.dispatchWaiters();
             this->gossip.refresh();
             this->client.closeExpired();
+            this->reportTurnedAway();
             this->activeRequestCount.store(this->callers.stats().activeRequests);
             const TimePoint due = this->context.clock.now() + kMaintenanceInterval;
             const std::int64_t picksBefore = this->scheduler.pickCount();
@@ -193,6 +254,8 @@
         }
     }
 
+    const ProcessLimits limits;
+    MemoryAccount memory; ///< Of all servers.
     FiberRuntime runtime;
     HttpClient client;
     EngineEstimates engineEstimates;
@@ -216,6 +279,8 @@
     HttpServer directoryServer;
     HttpServer readinessServer;
     HttpServer metricsServer;
+    std::int64_t loggedTurnedAway = 0; ///< Of the latest line.
+    TimePoint loggedAt{};
     std::atomic<int> activeRequestCount{0};
     std::thread thread;
 };
--- a/kernel/src/traffic/EntryHandler.cpp
+++ b/kernel/src/traffic/EntryHandler.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// A body waits for memory for longer than others take to be sent on.
+constexpr Duration kRetryAfterNoMemory = seconds(1);
+
 std::string_view bearerKey(const HttpRequest &request)
 {
     constexpr std::string_view kScheme = "Bearer ";
@@ -47,6 +50,11 @@
 {
     this->context.metrics.counter("requests_malformed_total").add();
     constexpr int kBodyTooLarge = 413;
+    if (status == status::kUnavailable) {
+        return Refusal{status,           "no_memory",         std::string(text),
+                       RunState::NotRun, kRetryAfterNoMemory, {}}
+            .response();
+    }
     const std::string type = status == kBodyTooLarge ? "body_too_large"
         : status == 431                              ? "headers_too_large"
                                                      : "malformed_http";
--- a/kernel/src/traffic/TrafficThread.cpp
+++ b/kernel/src/traffic/TrafficThread.cpp
@@ -12,6 +12,7 @@
 #include <runtime/FiberRuntime.h>
 #include <runtime/HttpClient.h>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 
@@ -22,11 +23,14 @@
 constexpr Duration kPumpInterval = milliseconds(50);
 constexpr Duration kUsageInterval = milliseconds(500);
 
-HttpServerOptions serverOptions(const Settings &settings)
+HttpServerOptions serverOptions(const Settings &settings, MemoryAccount &memory,
+                                const ProcessLimits &limits)
 {
     HttpServerOptions options;
     options.listen = settings.listen;
-    options.maxConnections = settings.limits.connections;
+    options.maxConnections = std::max(
+        1, limits.callerConnections(settings.limits.connections) / settings.trafficThreads);
+    options.memory = &memory;
     options.bounds.headerBytes = settings.limits.headerBytes;
     options.bounds.bodyBytes = settings.limits.bodyBytes;
     options.bounds.readTimeout = settings.timing.callerRead;
@@ -39,7 +43,7 @@
 struct TrafficThread::Impl
 {
     Impl(const Settings &settings, const Clock &clock, Metrics &metrics, SpanBuffer &spans,
-         ControlThread &control, int number)
+         ControlThread &control, MemoryAccount &memory, const ProcessLimits &limits, int number)
         : name(settings.name + "#" + std::to_string(number))
         , seed(hash64(control.incarnation(), static_cast<std::uint64_t>(number)))
         , client(this->runtime)
@@ -49,7 +53,7 @@
         , context{settings,      clock,        metrics,         spans,      control,
                   this->runtime, this->client, *this->platform, this->desk, {}}
         , handler(this->context, this->seed)
-        , server(this->runtime, serverOptions(settings), this->handler)
+        , server(this->runtime, serverOptions(settings, memory, limits), this->handler)
     {
         this->context.limits =
             AdmissionRegistry::instance().makeAll({&this->desk.budgets(), &this->desk.poison()});
@@ -108,8 +112,9 @@
 };
 
 TrafficThread::TrafficThread(const Settings &settings, const Clock &clock, Metrics &metrics,
-                             SpanBuffer &spans, ControlThread &control, int number)
-    : impl(std::make_unique<Impl>(settings, clock, metrics, spans, control, number))
+                             SpanBuffer &spans, ControlThread &control, MemoryAccount &memory,
+                             const ProcessLimits &limits, int number)
+    : impl(std::make_unique<Impl>(settings, clock, metrics, spans, control, memory, limits, number))
 { }
 
 TrafficThread::~TrafficThread()
@@ -134,6 +139,12 @@
             .set(impl.server.stats().openConnections);
         impl.context.metrics.counter("connections_refused{thread=\"" + impl.name + "\"}")
             .set(impl.server.stats().refusedConnections);
+        impl.context.metrics.counter("connections_yielded{thread=\"" + impl.name + "\"}")
+            .set(impl.server.stats().yieldedConnections);
+        impl.context.metrics.counter("bodies_yielded{thread=\"" + impl.name + "\"}")
+            .set(impl.server.stats().yieldedBodies);
+        impl.context.metrics.counter("bodies_refused{thread=\"" + impl.name + "\"}")
+            .set(impl.server.stats().refusedBodies);
     });
     impl.every(kUsageInterval, [&impl] { impl.desk.tellUsage(); });
     impl.thread = std::thread([&impl] { impl.runtime.run(); });
--- a/kernel/src/traffic/TrafficThread.h
+++ b/kernel/src/traffic/TrafficThread.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <base/Failure.h>
+#include <memory/ProcessLimits.h>
 #include <settings/Settings.h>
 #include <telemetry/Metrics.h>
 #include <telemetry/Spans.h>
@@ -11,13 +12,16 @@
 namespace basilnotch {
 
 class ControlThread;
+class MemoryAccount;
 
 /// Made before the control thread starts, so that its listener is in place.
 class TrafficThread
 {
 public:
+    /// `memory` is that of the process; it outlives this.
     TrafficThread(const Settings &settings, const Clock &clock, Metrics &metrics, SpanBuffer &spans,
-                  ControlThread &control, int number);
+                  ControlThread &control, MemoryAccount &memory, const ProcessLimits &limits,
+                  int number);
     ~TrafficThread();
     TrafficThread(const TrafficThread &) = delete;
     TrafficThread &operator=(const TrafficThread &) = delete;
--- a/libs/runtime/include/runtime/HttpClient.h
+++ b/libs/runtime/include/runtime/HttpClient.h
@@ -3,6 +3,7 @@
 
 #include <base/Clock.h>
 #include <base/Failure.h>
+#include <memory/MemoryAccount.h>
 #include <runtime/HttpMessage.h>
 #include <settings/Settings.h>
 
@@ -10,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace basilnotch {
 
@@ -39,6 +41,8 @@
     std::optional<Duration> connectTimeout; ///< For connecting; `timeout` when absent.
     bool freshConnection = false; ///< Never use an idle connection, whose peer may have closed it.
     std::optional<Correlation> correlation;
+    /// Sent instead of the request's own body, without a copy. Must outlive the call.
+    std::optional<std::string_view> body;
     /// Asked once, right before the request is written; false ends the call with NothingSent.
     /// Always true when absent.
     std::function<bool()> isStillWanted;
@@ -67,8 +71,10 @@
     virtual bool endsWithConnection() const = 0;
     /// The next part; empty at the end of a complete answer; an error when it was cut.
     virtual absl::StatusOr<std::string> readSome(Duration timeout) = 0;
-    /// Reads to the end; an error beyond `limit` bytes.
-    virtual absl::StatusOr<std::string> readAll(Duration timeout, std::size_t limit) = 0;
+    /// Reads to the end; an error beyond `limit` bytes. With `memory`, each part is reserved before
+    /// it is read: while there is none, nothing is read, so that the peer is held back.
+    virtual absl::StatusOr<std::string> readAll(Duration timeout, std::size_t limit,
+                                                MemoryReservation *memory = nullptr) = 0;
     /// Closes the connection; a pending read fails. May be called from a caller-gone callback.
     virtual void close() = 0;
 };
--- a/libs/runtime/include/runtime/HttpServer.h
+++ b/libs/runtime/include/runtime/HttpServer.h
@@ -1,9 +1,11 @@
 // An HTTP/1.1 server on one FiberRuntime: each connection is a fiber, each request one call of the
-// handler, which may block that fiber.
+// handler, which may block that fiber. What callers send is bounded for each connection and, by a
+// MemoryAccount, for all of them; a connection that makes no progress yields to those that do.
 #pragma once
 
 #include <base/Clock.h>
 #include <base/Failure.h>
+#include <memory/MemoryAccount.h>
 #include <runtime/HttpMessage.h>
 #include <settings/Settings.h>
 
@@ -38,6 +40,9 @@
     /// Calls `callback` once, on this thread, when the caller closes its connection during this
     /// exchange. It must not block. Replaces an earlier callback.
     virtual void onCallerGone(std::function<void()> callback) = 0;
+    /// For the answer, while it is kept here: reserved before it is read from an upstream, released
+    /// with this exchange. The connection of a caller that does not read may be closed for it.
+    virtual MemoryReservation &answerMemory() = 0;
 };
 
 class HttpHandler
@@ -46,7 +51,8 @@
     virtual ~HttpHandler() = default;
     /// Answers one request. Runs in a fiber and may block it; many calls run interleaved.
     virtual void handle(HttpExchange &exchange) = 0;
-    /// Answer to a message that is not HTTP or breaks a bound; `status` is 400, 413 or 431.
+    /// Answer to a message that is not HTTP or breaks a bound, `status` is 400, 413 or 431; or that
+    /// there is no memory to read, 503. It has not been handled.
     virtual HttpResponse malformed(int status, std::string_view text) = 0;
     /// The caller closed its connection before `request` was read; handle() is not called.
     virtual void abandoned(const HttpRequest &request) { (void)request; }
@@ -67,6 +73,7 @@
     int maxConnections = 4096;
     HttpServerBounds bounds;
     Duration writeTimeout = seconds(20);
+    MemoryAccount *memory = nullptr; ///< Not owned; without one, memory is not counted.
 };
 
 /// What the server turned away or holds; plain numbers of the runtime's thread.
@@ -74,7 +81,10 @@
 {
     int openConnections = 0;
     int activeRequests = 0;
-    std::int64_t refusedConnections = 0;
+    std::int64_t refusedConnections = 0; ///< Closed at once: too many, none of which could yield.
+    std::int64_t yieldedConnections = 0; ///< Closed without progress, for a new connection.
+    std::int64_t yieldedBodies = 0;      ///< Ended without progress, for the memory they held.
+    std::int64_t refusedBodies = 0;      ///< Refused, as there was no memory to read them.
 };
 
 class HttpServer
--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -29,6 +29,8 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::size_t kReadBytes = 4096;
+constexpr std::size_t kReserveBytes = 64 * 1024; // Of an answer whose length is not announced.
+constexpr Duration kMemoryPollInterval = milliseconds(10);
 constexpr int kMaxStrayAnswers = 4;   // More than these on one connection: the peer is confused.
 constexpr int kMaxInterimAnswers = 8; // 1xx answers before the final one; a sound peer sends one.
 /// Bytes that wait to be parsed: a header, a chunk's head or a part of a body. Bounds what a peer
@@ -177,8 +179,10 @@
 public:
     using PutIdle = std::function<void(std::unique_ptr<Connection>, std::optional<Duration>)>;
 
-    Stream(std::unique_ptr<Connection> connection, Endpoint peer, PutIdle putIdle)
-        : connection(std::move(connection))
+    Stream(FiberRuntime &runtime, std::unique_ptr<Connection> connection, Endpoint peer,
+           PutIdle putIdle)
+        : runtime(runtime)
+        , connection(std::move(connection))
         , peer(std::move(peer))
         , putIdle(std::move(putIdle))
     { }
@@ -273,11 +277,24 @@
         return std::string();
     }
 
-    absl::StatusOr<std::string> readAll(Duration timeout, std::size_t limit) override
+    absl::StatusOr<std::string> readAll(Duration timeout, std::size_t limit,
+                                        MemoryReservation *memory) override
     {
         const TimePoint until = SystemClock().now() + timeout;
         std::string all;
+        // An announced answer is reserved whole: several that each have a part could all wait.
+        const boost::optional<std::uint64_t> announced = this->parser->content_length();
+        std::size_t reserved = 0;
         while (true) {
+            if (memory && all.size() + kReadBytes > reserved) {
+                const std::size_t step =
+                    announced && reserved == 0 ? static_cast<std::size_t>(*announced) : 0;
+                reserved = std::min(limit, std::max(step, all.size() + kReserveBytes));
+                const absl::Status granted = this->reserve(*memory, reserved, until);
+                if (!granted.ok()) {
+                    return granted;
+                }
+            }
             absl::StatusOr<std::string> part = this->readSome(timeUntil(until));
             if (!part.ok() || part->empty()) {
                 return part.ok() ? absl::StatusOr<std::string>(std::move(all)) : part;
@@ -291,6 +308,22 @@
     }
 
 private:
+    /// Waits until the caller's side has room for `bytes`.
+    absl::Status reserve(MemoryReservation &memory, std::size_t bytes, TimePoint until)
+    {
+        while (!memory.tryGrowTo(static_cast<std::int64_t>(bytes))) {
+            if (this->closed || timeUntil(until) <= Duration::zero()) {
+                return callFailure("reserve memory", this->peer,
+                                   this->closed ? error_code(asio::error::operation_aborted)
+                                                : error_code(beast::error::timeout),
+                                   SendProgress::MaybeSent);
+            }
+            memory.askHolders();
+            this->runtime.sleepFor(kMemoryPollInterval);
+        }
+        return absl::OkStatus();
+    }
+
     /// An answer without the header is taken for ours, unless an earlier request of this connection
     /// could have caused it.
     bool belongsTo(const Correlation &correlation) const
@@ -367,6 +400,7 @@
         }
     }
 
+    FiberRuntime &runtime;
     std::unique_ptr<Connection> connection; ///< Null once the whole answer was read.
     Endpoint peer;
     PutIdle putIdle;
@@ -378,9 +412,10 @@
     bool endsAtClose = false; ///< See endsWithConnection().
 };
 
-http::request<http::string_body> toWire(const Endpoint &peer, const HttpRequest &request)
+http::request<http::span_body<const char>> toWire(const Endpoint &peer, const HttpRequest &request,
+                                                  std::string_view body)
 {
-    http::request<http::string_body> message;
+    http::request<http::span_body<const char>> message;
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
@@ -390,7 +425,7 @@
     if (message.find(http::field::host) == message.end()) {
         message.set(http::field::host, peer.text());
     }
-    message.body() = request.body;
+    message.body() = {body.data(), body.size()};
     message.prepare_payload();
     return message;
 }
@@ -477,7 +512,8 @@
     }
     beast::tcp_stream &stream = connection->stream;
     const CancelScope scope(canceller, stream);
-    const http::request<http::string_body> message = toWire(peer, request);
+    const http::request<http::span_body<const char>> message =
+        toWire(peer, request, options.body.value_or(request.body));
     const TimePoint until = SystemClock().now() + options.timeout;
     stream.expires_after(inClock(options.timeout));
     const IoResult written =
@@ -486,7 +522,7 @@
         return callFailure("write request", peer, written.error, SendProgress::MaybeSent);
     }
     auto answer = std::make_unique<Stream>(
-        std::move(connection), peer,
+        this->impl->runtime, std::move(connection), peer,
         [impl = std::weak_ptr(this->impl), name](std::unique_ptr<Connection> back,
                                                  std::optional<Duration> stated) {
             if (const auto owner = impl.lock()) {
@@ -536,7 +572,8 @@
     }
     Stream &answer = static_cast<Stream &>(**stream);
     const CancelScope scope(canceller, answer.transport());
-    absl::StatusOr<std::string> body = answer.readAll(timeUntil(answer.callUntil()), kMaxCallBytes);
+    absl::StatusOr<std::string> body =
+        answer.readAll(timeUntil(answer.callUntil()), kMaxCallBytes, nullptr);
     if (!body.ok()) {
         return body.status();
     }
--- a/libs/runtime/src/HttpServer.cpp
+++ b/libs/runtime/src/HttpServer.cpp
@@ -16,7 +16,11 @@
 #include <poll.h>
 #include <sys/socket.h>
 
-#include <set>
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <list>
+#include <optional>
 #include <sstream>
 #include <utility>
 
@@ -39,7 +43,8 @@
                    step, "caller", error.message());
 }
 
-HttpRequest toPlain(http::request<http::string_body> &&message)
+template <typename Message>
+HttpRequest plainHead(const Message &message)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
@@ -47,10 +52,61 @@
     for (const auto &field : message) {
         request.headers.add(std::string(field.name_string()), std::string(field.value()));
     }
-    request.body = std::move(message.body());
     return request;
 }
 
+constexpr std::size_t kFirstReadBytes = 4096; // A connection without a request under way has these.
+/// Room for the rest of what is read with a header: a part of the body.
+constexpr std::size_t kBufferReserve = 4096;
+constexpr std::size_t kBodyPartBytes = 16 * 1024;
+/// Of a body and of the header before it, which each connection may hold without a reservation:
+/// enough for an ordinary request. The number of connections bounds the sum.
+constexpr std::int64_t kUnreservedBytes = 8 * 1024;
+constexpr std::int64_t kReservationStep = 16 * 1024;
+/// A connection may be closed for another one after so long without its whole request. A caller
+/// sends it as soon as it is connected, so that it mostly waits here already.
+constexpr Duration kMinAgeToYield = milliseconds(20);
+/// A body or the reading of an answer that has not moved for so long makes no progress.
+constexpr Duration kStalled = milliseconds(500);
+/// A caller that has not read for so long yields its connection.
+constexpr Duration kUnread = seconds(1);
+constexpr Duration kMemoryPollInterval = milliseconds(10);
+/// A body waits for memory at most; its sender is held back meanwhile.
+constexpr Duration kMaxMemoryWait = seconds(2);
+constexpr Duration kMaxAcceptWait = milliseconds(250);
+constexpr std::size_t kWritePartBytes = 64 * 1024;
+// After a refusal, what still arrives is dropped, so that the sender can read the refusal.
+constexpr Duration kLingerTime = seconds(1);
+constexpr std::size_t kLingerBytes = 4 * 1024 * 1024;
+
+/// What a connection does; the server closes those that do it for long without progress.
+enum class ConnectionState {
+    Idle,    ///< No byte of a request has arrived.
+    Reading, ///< A request is incomplete.
+    Busy,    ///< The handler has it.
+};
+
+struct Connection
+{
+    Connection(tcp::socket socket, MemoryAccount *account)
+        : stream(std::move(socket))
+        , requestMemory(account, MemoryPurpose::Requests)
+        , answerMemory(account, MemoryPurpose::Answers)
+    { }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    MemoryReservation requestMemory; ///< For the request, until it has been handled.
+    MemoryReservation answerMemory;  ///< For the answer, until it has been written.
+    ConnectionState state = ConnectionState::Idle;
+    std::list<Connection *>::iterator place; ///< In the server's list of that state, unless Busy.
+    TimePoint since{};                       ///< Beginning of that state.
+    TimePoint movedAt{};                     ///< When bytes were last read or written.
+    bool isWriting = false;                  ///< An answer of which the caller has to read.
+    bool waitsForMemory = false;
+    bool mustYield = false;
+};
+
 /// A caller with unread bytes keeps its socket readable, so its close is polled for at this
 /// interval.
 constexpr std::chrono::milliseconds kClosePollInterval{100};
@@ -84,9 +140,10 @@
 {
 public:
     /// `closing`: read when the answer begins; true when callers shall leave.
-    Exchange(beast::tcp_stream &stream, HttpRequest &&plain, bool keepAlive, const bool &closing,
+    Exchange(Connection &connection, HttpRequest &&plain, bool keepAlive, const bool &closing,
              Duration writeTimeout)
-        : stream(stream)
+        : connection(connection)
+        , stream(connection.stream)
         , plain(std::move(plain))
         , keepAlive(keepAlive)
         , closing(closing)
@@ -112,13 +169,33 @@
 
     absl::Status respond(const HttpResponse &response) override
     {
-        http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
+        http::response<http::empty_body> message(static_cast<http::status>(response.status), 11);
         this->fill(message, response.headers);
-        message.body() = response.body;
-        message.prepare_payload();
-        const absl::Status sent = this->send("write answer", [&](auto handler) {
-            http::async_write(this->stream, message, std::move(handler));
+        constexpr int kNoContent = 204;
+        constexpr int kNotModified = 304;
+        if (response.status != kNoContent && response.status != kNotModified) {
+            message.content_length(response.body.size());
+        }
+        std::ostringstream text;
+        text << message.base();
+        const std::string header = std::move(text).str();
+        // In parts, so that a caller that reads is known from one that does not.
+        std::string_view rest = response.body;
+        std::string_view part = rest.substr(0, kWritePartBytes);
+        absl::Status sent = this->send("write answer", [&](auto handler) {
+            asio::async_write(this->stream,
+                              std::array<asio::const_buffer, 2>{
+                                  asio::buffer(header), asio::buffer(part.data(), part.size())},
+                              std::move(handler));
         });
+        while (sent.ok() && part.size() < rest.size()) {
+            rest.remove_prefix(part.size());
+            part = rest.substr(0, kWritePartBytes);
+            sent = this->send("write answer", [&](auto handler) {
+                asio::async_write(this->stream, asio::buffer(part.data(), part.size()),
+                                  std::move(handler));
+            });
+        }
         this->complete = sent.ok();
         return sent;
     }
@@ -180,6 +257,8 @@
                                          });
     }
 
+    MemoryReservation &answerMemory() override { return this->connection.answerMemory; }
+
     bool watching() const { return this->watch->armed && !this->watch->gone; }
 
 private:
@@ -217,11 +296,15 @@
     {
         this->stream.expires_after(
             std::chrono::duration_cast<std::chrono::steady_clock::duration>(this->writeTimeout));
+        this->connection.isWriting = true;
+        this->connection.movedAt = SystemClock().now();
         const IoResult result = awaitIo(std::move(initiate));
+        this->connection.isWriting = false;
         this->stream.expires_never();
         return result.error ? ioFailure(step, result.error) : absl::OkStatus();
     }
 
+    Connection &connection;
     beast::tcp_stream &stream;
     HttpRequest plain;
     std::shared_ptr<CallerWatch> watch = std::make_shared<CallerWatch>(this->stream.get_executor());
@@ -233,49 +316,114 @@
     const Duration writeTimeout;
 };
 
+constexpr int kBadRequest = 400;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+constexpr int kNoMemory = 503;
+
 int malformedStatus(const error_code &error)
 {
-    constexpr int kBadRequest = 400;
-    constexpr int kBodyTooLarge = 413;
-    constexpr int kHeaderTooLarge = 431;
     if (error == http::error::body_limit) {
         return kBodyTooLarge;
     }
-    return error == http::error::header_limit ? kHeaderTooLarge : kBadRequest;
+    return error == http::error::header_limit || error == http::error::buffer_overflow
+        ? kHeaderTooLarge
+        : kBadRequest;
 }
 
-bool isProtocolError(const error_code &error)
+/// Why a request was not read; nothing is answered when the connection has ended.
+struct ReadFailure
+{
+    int status = 0; ///< 0: nothing to answer.
+    std::string text;
+};
+
+std::chrono::steady_clock::duration inClock(Duration value)
 {
-    return error.category() == make_error_code(http::error::bad_method).category()
-        && error != http::error::end_of_stream && error != http::error::partial_message;
+    return std::chrono::duration_cast<std::chrono::steady_clock::duration>(value);
 }
 
 } // namespace
 
-struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>, MemoryHolder
 {
+    using Parser = http::request_parser<http::buffer_body>;
+
     Impl(FiberRuntime &runtime, HttpServerOptions options, HttpHandler &handler)
         : runtime(runtime)
         , options(std::move(options))
         , handler(handler)
         , acceptor(runtime.context())
-    { }
+    {
+        if (this->options.memory) {
+            this->options.memory->addHolder(*this);
+        }
+    }
+    ~Impl() override
+    {
+        if (this->options.memory) {
+            this->options.memory->removeHolder(*this);
+        }
+    }
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
 
     void acceptLoop();
+    /// Closes the connection that has been longest without a whole request; false when there is
+    /// none that may yield. Waits for one for a moment.
+    bool makeRoom();
+    /// Closes a connection for another one.
+    void yield(Connection &connection);
     void serve(tcp::socket socket);
-    bool serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer);
-    void refuse(beast::tcp_stream &stream, int status, std::string_view text);
+    bool serveOne(Connection &connection);
+    bool awaitFirstBytes(Connection &connection);
+    /// Reads a message to its end.
+    std::optional<ReadFailure> readMessage(Connection &connection, HttpRequest *request,
+                                           bool *keepAlive);
+    std::optional<ReadFailure> readMore(Connection &connection, std::size_t most);
+    /// Has `bytes` reserved for a body; waits a moment for them.
+    bool reserve(Connection &connection, std::int64_t bytes);
+    void refuse(Connection &connection, const ReadFailure &failure);
+    void enter(Connection &connection, ConnectionState state);
+    void leave(Connection &connection);
+    std::list<Connection *> &listOf(ConnectionState state)
+    {
+        return state == ConnectionState::Idle   ? this->idle
+            : state == ConnectionState::Reading ? this->reading
+                                                : this->busy;
+    }
+    void onMemoryShort(MemoryPurpose purpose) override;
+    void closeStalled(MemoryPurpose purpose);
 
     FiberRuntime &runtime;
     HttpServerOptions options;
     HttpHandler &handler;
     tcp::acceptor acceptor;
-    std::set<beast::tcp_stream *> idle; ///< Connections that wait for a request.
+    // Connections by state, those that entered it first at the front.
+    std::list<Connection *> idle;
+    std::list<Connection *> reading;
+    std::list<Connection *> busy;
+    std::array<char, kBodyPartBytes> bodyPart{}; ///< Only while a part is parsed.
+    std::atomic<bool> closesStalled{false};      ///< closeStalled() is about to run.
     HttpServerStats stats;
     bool closingAfterAnswers = false;
     bool stopping = false; ///< Invariant: implies closingAfterAnswers.
 };
 
+void HttpServer::Impl::enter(Connection &connection, ConnectionState state)
+{
+    std::list<Connection *> &list = this->listOf(state);
+    connection.state = state;
+    connection.since = SystemClock().now();
+    connection.movedAt = connection.since;
+    connection.place = list.insert(list.end(), &connection);
+}
+
+void HttpServer::Impl::leave(Connection &connection)
+{
+    this->listOf(connection.state).erase(connection.place);
+}
+
 void HttpServer::Impl::acceptLoop()
 {
     while (!this->stopping) {
@@ -289,7 +437,7 @@
             }
             continue;
         }
-        if (this->stats.openConnections >= this->options.maxConnections) {
+        if (this->stats.openConnections >= this->options.maxConnections && !this->makeRoom()) {
             ++this->stats.refusedConnections;
             continue;
         }
@@ -303,66 +451,272 @@
     }
 }
 
+void HttpServer::Impl::yield(Connection &connection)
+{
+    connection.mustYield = true;
+    ++this->stats.yieldedConnections;
+    connection.stream.close();
+}
+
+bool HttpServer::Impl::makeRoom()
+{
+    const TimePoint until = SystemClock().now() + kMaxAcceptWait;
+    while (!this->stopping) {
+        const TimePoint now = SystemClock().now();
+        for (std::list<Connection *> *list : {&this->reading, &this->idle}) {
+            for (Connection *connection : *list) {
+                if (now - connection->since < kMinAgeToYield) {
+                    break; // Those behind it are younger.
+                }
+                if (!connection->mustYield) {
+                    this->yield(*connection);
+                    return true;
+                }
+            }
+        }
+        const auto unread =
+            std::find_if(this->busy.begin(), this->busy.end(), [now](const Connection *connection) {
+                return connection->isWriting && !connection->mustYield
+                    && now - connection->movedAt >= kUnread;
+            });
+        if (unread != this->busy.end()) {
+            this->yield(**unread);
+            return true;
+        }
+        if (now >= until || this->stats.openConnections < this->options.maxConnections) {
+            break;
+        }
+        this->runtime.sleepFor(kMemoryPollInterval);
+    }
+    return this->stats.openConnections < this->options.maxConnections;
+}
+
+void HttpServer::Impl::onMemoryShort(MemoryPurpose purpose)
+{
+    if (this->closesStalled.exchange(true)) {
+        return;
+    }
+    this->runtime.post([weak = this->weak_from_this(), purpose] {
+        if (const auto self = weak.lock()) {
+            self->closesStalled.store(false);
+            self->closeStalled(purpose);
+        }
+    });
+}
+
+void HttpServer::Impl::closeStalled(MemoryPurpose purpose)
+{
+    const TimePoint now = SystemClock().now();
+    const bool forRequests = purpose == MemoryPurpose::Requests;
+    Connection *slowest = nullptr;
+    for (Connection *connection : forRequests ? this->reading : this->busy) {
+        const MemoryReservation &memory =
+            forRequests ? connection->requestMemory : connection->answerMemory;
+        const bool isWaiting = forRequests ? connection->waitsForMemory : !connection->isWriting;
+        if (memory.bytes() == 0 || isWaiting || connection->mustYield
+            || now - connection->movedAt < kStalled) {
+            continue;
+        }
+        if (!slowest || connection->movedAt < slowest->movedAt) {
+            slowest = connection;
+        }
+    }
+    if (slowest) {
+        slowest->mustYield = true;
+        ++this->stats.yieldedBodies;
+        slowest->stream.cancel();
+    }
+}
+
 void HttpServer::Impl::serve(tcp::socket socket)
 {
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
-    while (this->serveOne(stream, buffer)) { }
+    Connection connection(std::move(socket), this->options.memory);
+    while (this->serveOne(connection)) { }
     error_code ignored;
-    stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
 
-void HttpServer::Impl::refuse(beast::tcp_stream &stream, int status, std::string_view text)
+void HttpServer::Impl::refuse(Connection &connection, const ReadFailure &failure)
 {
-    Exchange exchange(stream, HttpRequest(), false, this->closingAfterAnswers,
+    Exchange exchange(connection, HttpRequest(), false, this->closingAfterAnswers,
                       this->options.writeTimeout);
-    const absl::Status ignored = exchange.respond(this->handler.malformed(status, text));
-    (void)ignored;
-    error_code shut;
-    stream.socket().shutdown(tcp::socket::shutdown_send, shut);
+    const absl::Status sent =
+        exchange.respond(this->handler.malformed(failure.status, failure.text));
+    connection.buffer.clear();
+    connection.buffer.shrink_to_fit();
+    connection.requestMemory.release();
+    beast::tcp_stream &stream = connection.stream;
+    error_code ignored;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    const TimePoint until = SystemClock().now() + kLingerTime;
+    std::size_t dropped = 0;
+    while (sent.ok() && dropped < kLingerBytes && !connection.mustYield) {
+        const Duration left = until - SystemClock().now();
+        if (left <= Duration::zero()) {
+            break;
+        }
+        stream.expires_after(inClock(left));
+        const IoResult got = awaitIo([&](auto handler) {
+            stream.async_read_some(connection.buffer.prepare(kFirstReadBytes), std::move(handler));
+        });
+        if (got.error || got.bytes == 0) {
+            break;
+        }
+        dropped += got.bytes;
+    }
 }
 
-bool HttpServer::Impl::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+bool HttpServer::Impl::awaitFirstBytes(Connection &connection)
 {
-    const auto inClock = [](Duration value) {
-        return std::chrono::duration_cast<std::chrono::steady_clock::duration>(value);
-    };
-    if (buffer.size() == 0) {
-        // Wait without a parser, so that an idle connection costs no buffer and can be closed.
-        this->idle.insert(&stream);
-        stream.expires_after(inClock(this->options.bounds.idleTimeout));
-        const IoResult waited = awaitIo([&](auto handler) {
-            stream.async_read_some(buffer.prepare(4096), std::move(handler));
-        });
-        this->idle.erase(&stream);
-        if (waited.error) {
-            return false;
-        }
-        buffer.commit(waited.bytes);
+    // Wait without a parser, so that an idle connection costs little and can be closed.
+    connection.buffer.shrink_to_fit();
+    this->enter(connection, ConnectionState::Idle);
+    connection.stream.expires_after(inClock(this->options.bounds.idleTimeout));
+    const IoResult waited = awaitIo([&](auto handler) {
+        connection.stream.async_read_some(connection.buffer.prepare(kFirstReadBytes),
+                                          std::move(handler));
+    });
+    this->leave(connection);
+    if (waited.error) {
+        return false;
+    }
+    connection.buffer.commit(waited.bytes);
+    return true;
+}
+
+bool HttpServer::Impl::reserve(Connection &connection, std::int64_t bytes)
+{
+    const std::int64_t wanted = bytes - kUnreservedBytes;
+    if (wanted <= connection.requestMemory.bytes()) {
+        return true;
+    }
+    const std::int64_t stepped =
+        (wanted + kReservationStep - 1) / kReservationStep * kReservationStep;
+    const TimePoint until = SystemClock().now() + kMaxMemoryWait;
+    connection.waitsForMemory = true;
+    bool granted = connection.requestMemory.tryGrowTo(stepped);
+    while (!granted && !connection.mustYield && SystemClock().now() < until) {
+        connection.requestMemory.askHolders();
+        this->runtime.sleepFor(kMemoryPollInterval);
+        granted = connection.requestMemory.tryGrowTo(stepped);
+    }
+    connection.waitsForMemory = false;
+    connection.movedAt = SystemClock().now();
+    return granted;
+}
+
+std::optional<ReadFailure> HttpServer::Impl::readMore(Connection &connection, std::size_t most)
+{
+    beast::flat_buffer &buffer = connection.buffer;
+    const std::size_t room = std::min(most, buffer.max_size() - buffer.size());
+    if (room == 0) {
+        return ReadFailure{kHeaderTooLarge, "a line or the trailers are too long"};
+    }
+    const IoResult got = awaitIo([&](auto handler) {
+        connection.stream.async_read_some(buffer.prepare(room), std::move(handler));
+    });
+    if (connection.mustYield) {
+        return ReadFailure{kNoMemory, "no memory for a request that makes no progress"};
     }
-    http::request_parser<http::string_body> parser;
+    if (got.error) {
+        return ReadFailure{};
+    }
+    buffer.commit(got.bytes);
+    connection.movedAt = SystemClock().now();
+    return std::nullopt;
+}
+
+std::optional<ReadFailure> HttpServer::Impl::readMessage(Connection &connection,
+                                                         HttpRequest *request, bool *keepAlive)
+{
+    const ReadFailure noMemory{kNoMemory, "no memory to read the request"};
+    beast::flat_buffer &buffer = connection.buffer;
+    Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(this->options.bounds.headerBytes));
     parser.body_limit(static_cast<std::uint64_t>(this->options.bounds.bodyBytes));
+    bool hasHeader = false;
+    std::int64_t announced =
+        0; // Reserved whole: several bodies that each have a part could all wait.
+    while (!parser.is_done()) {
+        if (buffer.size() == 0) {
+            if (std::optional<ReadFailure> failed = this->readMore(connection, kBodyPartBytes)) {
+                return failed;
+            }
+        }
+        const auto unparsed = static_cast<std::int64_t>(buffer.size());
+        const auto held = static_cast<std::int64_t>(request->body.size());
+        if (!this->reserve(connection, std::max(held + unparsed, announced))) {
+            ++this->stats.refusedBodies;
+            return noMemory;
+        }
+        auto &body = parser.get().body();
+        body.data = this->bodyPart.data();
+        body.size = this->bodyPart.size();
+        error_code error;
+        buffer.consume(parser.put(buffer.data(), error));
+        if (parser.is_header_done()) {
+            if (!hasHeader) {
+                hasHeader = true;
+                parser.eager(true);
+                announced = static_cast<std::int64_t>(parser.content_length().value_or(0));
+                *request = plainHead(parser.get()); // Trailers are no part of it.
+                *keepAlive = parser.get().keep_alive();
+            }
+            request->body.append(this->bodyPart.data(), this->bodyPart.size() - body.size);
+        }
+        if (error == http::error::need_buffer || (!error && buffer.size() > 0)) {
+            continue;
+        }
+        if (error && error != http::error::need_more) {
+            return ReadFailure{malformedStatus(error), error.message()};
+        }
+        if (!parser.is_done()) {
+            const std::size_t most = hasHeader ? kBodyPartBytes : kFirstReadBytes;
+            if (std::optional<ReadFailure> failed = this->readMore(connection, most)) {
+                return failed;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+bool HttpServer::Impl::serveOne(Connection &connection)
+{
+    beast::tcp_stream &stream = connection.stream;
+    if (connection.buffer.size() == 0 && !this->awaitFirstBytes(connection)) {
+        return false;
+    }
+    HttpRequest request;
+    bool keepAlive = false;
+    connection.buffer.max_size(static_cast<std::size_t>(this->options.bounds.headerBytes)
+                               + kBufferReserve);
+    this->enter(connection, ConnectionState::Reading);
     stream.expires_after(inClock(this->options.bounds.readTimeout));
-    const IoResult result = awaitIo(
-        [&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
+    const std::optional<ReadFailure> failed = this->readMessage(connection, &request, &keepAlive);
     stream.expires_never();
-    if (result.error) {
-        if (isProtocolError(result.error)) {
-            this->refuse(stream, malformedStatus(result.error), result.error.message());
+    if (failed) {
+        request = HttpRequest();
+        if (failed->status != 0 && stream.socket().is_open()) {
+            this->refuse(connection, *failed);
         }
+        this->leave(connection);
         return false;
     }
-    const bool keepAlive = parser.get().keep_alive();
-    Exchange exchange(stream, toPlain(parser.release()), keepAlive, this->closingAfterAnswers,
+    this->leave(connection);
+    this->enter(connection, ConnectionState::Busy);
+    Exchange exchange(connection, std::move(request), keepAlive, this->closingAfterAnswers,
                       this->options.writeTimeout);
     if (exchange.callerGone()) {
+        this->leave(connection);
         this->handler.abandoned(exchange.request());
         return false;
     }
     ++this->stats.activeRequests;
     this->handler.handle(exchange);
     --this->stats.activeRequests;
+    this->leave(connection);
+    connection.requestMemory.release();
+    connection.answerMemory.release();
     if (!exchange.answered()) {
         return false;
     }
@@ -370,7 +724,8 @@
         error_code ignored; // The handler may have closed the connection.
         stream.socket().cancel(ignored);
     }
-    return exchange.mayReuse() && !this->stopping && stream.socket().is_open();
+    return exchange.mayReuse() && !this->stopping && !connection.mustYield
+        && stream.socket().is_open();
 }
 
 HttpServer::HttpServer(FiberRuntime &runtime, HttpServerOptions options, HttpHandler &handler)
@@ -425,8 +780,8 @@
     impl.closingAfterAnswers = true;
     error_code ignored;
     impl.acceptor.close(ignored);
-    for (beast::tcp_stream *stream : impl.idle) {
-        stream->cancel();
+    for (Connection *connection : impl.idle) {
+        connection->stream.cancel();
     }
 }
 
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -78,7 +78,9 @@
     int openReceipts = 65'536; ///< Receipts not yet known to be in the table.
     int heldPeerBatches = 16'384;
     int answerBytes = 4 * 1024 * 1024; ///< A whole answer kept for a caller that does not stream.
-    double retryShare = 0.1;           ///< Retries and hedges as a share of first tries.
+    int memoryMb = 0; ///< That the process may use, in millions of bytes; 0: the system's limit.
+    int maxDescriptors = 0;  ///< That the process may open; 0: the system's limit.
+    double retryShare = 0.1; ///< Retries and hedges as a share of first tries.
 };
 
 struct TimingSettings
--- a/libs/settings/include/settings/SiteSettings.h
+++ b/libs/settings/include/settings/SiteSettings.h
@@ -41,7 +41,9 @@
     std::string adapter = "table-platform"; ///< Name of a registered site adapter.
     Endpoint store;
     int processorMillis = 0;   ///< Thousandths of a processor that the instance has; 0: unknown.
-    int maxConnections = 2000; ///< Of callers; leaves descriptors for upstreams and peers.
+    int maxConnections = 2000; ///< Of callers, at most; fewer where memory or descriptors are few.
+    int memoryMb = 0; ///< That the process may use, in millions of bytes; 0: the system's limit.
+    int maxDescriptors = 0; ///< That the process may open; 0: the system's limit.
     SiteBounds bounds;
 };
 
--- a/libs/settings/src/Settings.cpp
+++ b/libs/settings/src/Settings.cpp
@@ -30,6 +30,8 @@
     visit("openReceipts", limits.openReceipts);
     visit("heldPeerBatches", limits.heldPeerBatches);
     visit("answerBytes", limits.answerBytes);
+    visit("memoryMb", limits.memoryMb);
+    visit("maxDescriptors", limits.maxDescriptors);
 }
 
 template <typename Visit>
@@ -105,7 +107,7 @@
 
     ObjectReader limits = root.child("limits");
     visitLimits(settings.limits, [&](const char *key, int &value) {
-        value = static_cast<int>(limits.integer(key, 1, 1'000'000'000, value));
+        value = static_cast<int>(limits.integer(key, value == 0 ? 0 : 1, 1'000'000'000, value));
     });
     settings.limits.retryShare = limits.number("retryShare", 0, 1, settings.limits.retryShare);
     limits.finish();
--- a/libs/settings/src/SiteSettings.cpp
+++ b/libs/settings/src/SiteSettings.cpp
@@ -48,6 +48,7 @@
 ParsedSiteSettings parseSiteSettings(std::string_view text)
 {
     constexpr int kMostConnections = 1'000'000;
+    constexpr int kMostMemoryMb = 1'000'000;
     ParsedSiteSettings parsed;
     SiteSettings &settings = parsed.settings;
     JsonDocument document(text);
@@ -82,6 +83,11 @@
             static_cast<int>(kThousand * root.number("processors", 0, kMostProcessors, 0));
         settings.maxConnections = static_cast<int>(
             root.integer("maxConnections", 1, kMostConnections, settings.maxConnections));
+        ObjectReader limits = root.child("limits");
+        settings.memoryMb = static_cast<int>(limits.number("memoryMb", 0, kMostMemoryMb, 0));
+        settings.maxDescriptors =
+            static_cast<int>(limits.number("maxDescriptors", 0, kMostConnections, 0));
+        limits.finish();
         settings.bounds = readBounds(root.child("bounds"));
         root.finish();
     }
--- a/libs/settings/tests/SiteSettingsTest.cpp
+++ b/libs/settings/tests/SiteSettingsTest.cpp
@@ -32,6 +32,21 @@
     CHECK(parsed.settings.bounds.retrySlack == SiteBounds().retrySlack);
 }
 
+TEST_CASE("limits of the process are read, and are the system's when they are not stated")
+{
+    const ParsedSiteSettings without = parseSiteSettings(kComplete);
+    CHECK(without.settings.memoryMb == 0);
+    CHECK(without.settings.maxDescriptors == 0);
+    std::string text = kComplete;
+    text.insert(text.rfind('}'), R"(, "limits": {"memoryMb": 120, "maxDescriptors": 3075})");
+    const ParsedSiteSettings parsed = parseSiteSettings(text);
+    REQUIRE(parsed.ok());
+    CHECK(parsed.settings.memoryMb == 120);
+    CHECK(parsed.settings.maxDescriptors == 3075);
+    text.replace(text.find("120, \"max"), 3, "-1 ");
+    CHECK(parseSiteSettings(text).faults.at(0).path == "$.limits.memoryMb");
+}
+
 TEST_CASE("each missing, unknown or malformed setting is a fault with its path")
 {
     std::string text = kComplete;
--- a/tests/crowd/OwnCrowdTest.cpp
+++ b/tests/crowd/OwnCrowdTest.cpp
@@ -20,6 +20,7 @@
     ClusterOptions options;
     options.entries = 1;
     options.engines = 2;
+    options.limits = R"("memoryMb":120)"; // The smallest machine.
     return options;
 }
 
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -3,7 +3,7 @@
 # bench but tests, and decision and state libraries neither Asio, Beast nor Fiber.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-order=(base rules settings catalog upstreams replica telemetry runtime platform session receipts claims membership decision)
+order=(base memory rules settings catalog upstreams replica telemetry runtime platform session receipts claims membership decision)
 failed=0
 for position in "${!order[@]}"; do
   library=${order[$position]}
@@ -11,7 +11,7 @@
     grep -rnE "#include <$later/" "libs/$library/include" "libs/$library/src" && { echo "libs/$library must not include $later"; failed=1; }
   done
 done
-for library in base rules settings catalog upstreams replica session receipts claims membership decision; do
+for library in base memory rules settings catalog upstreams replica session receipts claims membership decision; do
   grep -rnE '#include <boost/(asio|beast|fiber)' "libs/$library/include" "libs/$library/src" && { echo "libs/$library must not include Asio, Beast or Fiber"; failed=1; }
 done
 grep -rnE '#include <boost/(asio|beast|fiber)' libs/*/include kernel/include && { echo "public headers must not include Asio, Beast or Fiber"; failed=1; }
