Peer port on the runtime's own sockets, with bounds

nng accepts connections without bound and holds what each announces: 40 messages that stopped a byte short took 351 MB, and idle connections took all descriptors. PeerServer now speaks nng's request protocol itself, on fibers: a share of the descriptors, an eighth of the memory for incomplete messages, eight requests at once for each connection and 32 in all. When it is full, a connection that has never asked anything yields first. The requesting side is nng as before.

--- a/kernel/src/control/PeerMessenger.cpp
+++ b/kernel/src/control/PeerMessenger.cpp
@@ -22,8 +22,10 @@
     : runtime(runtime)
     , settings(settings)
     , gossip(gossip)
-    , server(runtime, settings.peerListen,
-             [this](std::string message) { return this->handleMessage(std::move(message)); })
+    , server(
+          runtime, settings.peerListen,
+          [this](std::string message) { return this->handleMessage(std::move(message)); },
+          processLimits(settings.limits.memoryMb, settings.limits.maxDescriptors))
     , bytesSent(metrics.counter("peer_bytes_sent_total"))
     , bytesReceived(metrics.counter("peer_bytes_received_total"))
     , failures(metrics.counter("peer_failures_total"))
--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -63,6 +63,8 @@
     settings.name = site.instance;
     settings.failureDomain = site.failureDomain;
     settings.peerListen = site.peers;
+    settings.limits.memoryMb = site.memoryMb;
+    settings.limits.maxDescriptors = site.maxDescriptors;
     settings.peerAddress = site.peers;
     return settings;
 }
--- a/libs/runtime/include/runtime/PeerLink.h
+++ b/libs/runtime/include/runtime/PeerLink.h
@@ -3,6 +3,7 @@
 
 #include <base/Clock.h>
 #include <base/Failure.h>
+#include <memory/ProcessLimits.h>
 #include <settings/Settings.h>
 
 #include <functional>
@@ -19,7 +20,9 @@
 public:
     using Handler = std::function<std::string(std::string)>;
 
-    PeerServer(FiberRuntime &runtime, Endpoint listen, Handler handler);
+    /// `limits`: of the process, of which the connections of peers and what they send get a part.
+    PeerServer(FiberRuntime &runtime, Endpoint listen, Handler handler,
+               const ProcessLimits &limits = processLimits(0, 0));
     ~PeerServer();
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
@@ -27,7 +30,7 @@
 
 private:
     struct Impl;
-    std::unique_ptr<Impl> impl;
+    std::shared_ptr<Impl> impl;
 };
 
 /// Sends requests to other instances. One object serves all fibers of its runtime's thread.
--- a/libs/runtime/src/PeerLink.cpp
+++ b/libs/runtime/src/PeerLink.cpp
@@ -1,11 +1,11 @@
-// nng completes on threads of its own; each completion is handed to the fiber that waits for it.
+// The requesting side. nng completes on threads of its own; each completion is handed to the fiber
+// that waits for it.
 #include <runtime/PeerLink.h>
 
 #include <runtime/FiberRuntime.h>
 
 #include <boost/fiber/future.hpp>
 #include <nng/nng.h>
-#include <nng/protocol/reqrep0/rep.h>
 #include <nng/protocol/reqrep0/req.h>
 
 #include <atomic>
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr int kServerContexts = 32; // Requests of peers that are answered at once.
 constexpr std::size_t kMaxMessageBytes = 8 * 1024 * 1024;
 
 std::string url(const Endpoint &endpoint)
@@ -54,88 +53,6 @@
 
 } // namespace
 
-struct PeerServer::Impl
-{
-    /// One request at a time: receive, run the handler, send the reply, and again.
-    struct Worker
-    {
-        Impl *owner = nullptr;
-        nng_ctx context{};
-        nng_aio *aio = nullptr;
-        bool sending = false;
-    };
-
-    static void completed(void *argument)
-    {
-        auto *worker = static_cast<Worker *>(argument);
-        const int result = nng_aio_result(worker->aio);
-        if (result == NNG_ECLOSED || result == NNG_ECANCELED) {
-            return;
-        }
-        if (result != 0 || worker->sending) {
-            if (result != 0 && worker->sending) {
-                nng_msg_free(nng_aio_get_msg(worker->aio));
-            }
-            receive(*worker);
-            return;
-        }
-        std::string body = takeBody(worker->aio);
-        worker->owner->runtime.post([worker, body = std::move(body)]() mutable {
-            const std::string reply = worker->owner->handler(std::move(body));
-            worker->sending = true;
-            nng_aio_set_msg(worker->aio, makeMessage(reply));
-            nng_ctx_send(worker->context, worker->aio);
-        });
-    }
-
-    static void receive(Worker &worker)
-    {
-        worker.sending = false;
-        nng_ctx_recv(worker.context, worker.aio);
-    }
-
-    FiberRuntime &runtime;
-    Endpoint listen;
-    Handler handler;
-    nng_socket socket{};
-    std::vector<std::unique_ptr<Worker>> workers;
-};
-
-PeerServer::PeerServer(FiberRuntime &runtime, Endpoint listen, Handler handler)
-    : impl(new Impl{runtime, std::move(listen), std::move(handler)})
-{ }
-
-PeerServer::~PeerServer()
-{
-    nng_close(this->impl->socket);
-    for (const auto &worker : this->impl->workers) {
-        nng_aio_stop(worker->aio);
-        nng_aio_free(worker->aio);
-    }
-}
-
-absl::Status PeerServer::start()
-{
-    Impl &impl = *this->impl;
-    int code = nng_rep0_open(&impl.socket);
-    if (code == 0) {
-        nng_socket_set_size(impl.socket, NNG_OPT_RECVMAXSZ, kMaxMessageBytes);
-        code = nng_listen(impl.socket, url(impl.listen).c_str(), nullptr, 0);
-    }
-    if (code != 0) {
-        return nngFailure("listen for peers", impl.listen, code);
-    }
-    for (int index = 0; index < kServerContexts; ++index) {
-        auto worker = std::make_unique<Impl::Worker>();
-        worker->owner = &impl;
-        nng_aio_alloc(&worker->aio, &Impl::completed, worker.get());
-        nng_ctx_open(&worker->context, impl.socket);
-        Impl::receive(*worker);
-        impl.workers.push_back(std::move(worker));
-    }
-    return absl::OkStatus();
-}
-
 struct PeerClient::Impl
 {
     /// One request under way; lives until its completion has run.
