--- a/libs/runtime/tests/HttpBoundsTest.cpp
+++ b/libs/runtime/tests/HttpBoundsTest.cpp
@@ -205,7 +205,7 @@
 TEST_CASE("a body over the limit gets its answer although its caller still sends")
 {
     withServer(kPort + 2, kSmallMachine, 100, [](World &world) {
-        for (const std::string start :
+        for (const std::string &start :
              {std::string("POST / HTTP/1.1\r\nContent-Length: 1000000000\r\n\r\n"), kChunked}) {
             std::string answer;
             beside([&] {
