HttpBoundsTest: the account outlives the server's last connection

Connections that end after the test's own fiber give back their bytes; the account was destroyed with that fiber. test_runtime passes, 3 of 3 runs.

--- a/libs/runtime/include/runtime/HttpServer.h
+++ b/libs/runtime/include/runtime/HttpServer.h
@@ -73,7 +73,8 @@
     int maxConnections = 4096;
     HttpServerBounds bounds;
     Duration writeTimeout = seconds(20);
-    MemoryAccount *memory = nullptr; ///< Not owned; without one, memory is not counted.
+    /// Not owned; outlives the server and its last connection. Without one, memory is not counted.
+    MemoryAccount *memory = nullptr;
 };
 
 /// What the server turned away or holds; plain numbers of the runtime's thread.
--- a/libs/runtime/tests/HttpBoundsTest.cpp
+++ b/libs/runtime/tests/HttpBoundsTest.cpp
@@ -64,8 +64,8 @@
 void withServer(std::uint16_t port, std::int64_t memoryBytes, int maxConnections,
                 const std::function<void(World &)> &test)
 {
+    MemoryAccount account(memoryBudget(memoryBytes)); // Outlives the thread's last fiber.
     std::thread([&] {
-        MemoryAccount account(memoryBudget(memoryBytes));
         FiberRuntime runtime;
         EchoHandler handler;
         HttpServerOptions options;
