--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -356,10 +356,12 @@
     options.isStillWanted = [this, &upstream] {
         return !this->isWithdrawn && !this->exchange.callerGone() && this->isInUse(upstream);
     };
+    options.body = this->request.http->body;
+    const HttpRequest head{this->request.http->method, this->request.http->target,
+                           this->request.http->headers, ""};
     return this->context.client.open(
-        upstream.endpoint,
-        this->context.requestCodec.toUpstreamRequest(*this->request.http, forwardOptions), options,
-        &sendCanceller);
+        upstream.endpoint, this->context.requestCodec.toUpstreamRequest(head, forwardOptions),
+        options, &sendCanceller);
 }
 
 RequestForwarder::AttemptOutcome RequestForwarder::attempt(std::unique_ptr<UpstreamLease> &lease)
@@ -847,7 +849,8 @@
 RequestForwarder::AttemptOutcome RequestForwarder::relayBuffered(Attempt &attempt,
                                                                  HttpStream &answer)
 {
-    absl::StatusOr<std::string> body = answer.readAll(this->timeLeft(), kMaxBufferedAnswerBytes);
+    absl::StatusOr<std::string> body =
+        answer.readAll(this->timeLeft(), kMaxBufferedAnswerBytes, &this->exchange.answerMemory());
     if (!body.ok()) {
         return this->onAttemptFailed(attempt, body.status());
     }
--- a/kernel/tests/HedgedSendTest.cpp
+++ b/kernel/tests/HedgedSendTest.cpp
@@ -27,7 +27,10 @@
     const HttpHeaders &headers() const override { return this->none; }
     bool endsWithConnection() const override { return false; }
     absl::StatusOr<std::string> readSome(Duration) override { return std::string(); }
-    absl::StatusOr<std::string> readAll(Duration, std::size_t) override { return std::string(); }
+    absl::StatusOr<std::string> readAll(Duration, std::size_t, MemoryReservation *) override
+    {
+        return std::string();
+    }
     void close() override { }
 
 private:
--- a/libs/runtime/src/PeerLink.cpp
+++ b/libs/runtime/src/PeerLink.cpp
@@ -1,6 +1,7 @@
-// Frames on one TCP connection to each peer: length, id of the call, body; a reply bears the id of
-// its request. A connection that is closed, by whichever side and at whatever moment, only ends its
-// own fibers.
+// The requesting side of the protocol between instances, nng's request protocol over TCP: a
+// handshake of eight bytes from both sides, then messages of a length (eight bytes), the id of the
+// call (four) and the body; a reply bears the id of its request. A connection that is closed, by
+// whichever side and at whatever moment, only ends its own fibers.
 #include <runtime/PeerLink.h>
 
 #include "AwaitIo.h"
@@ -11,6 +12,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/endian/conversion.hpp>
@@ -19,7 +21,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <utility>
 
 namespace basilnotch {
@@ -32,27 +33,30 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::size_t kMaxMessageBytes = 8 * 1024 * 1024;
-/// Of a peer that does not read what it has asked for.
+/// Of requests to a peer that does not read them.
 constexpr std::size_t kMaxQueuedBytes = 2 * kMaxMessageBytes;
-constexpr int kMaxHandledAtOnce = 64; ///< Requests of peers; more of them wait unread.
 constexpr Duration kConnectTimeout = milliseconds(400);
 constexpr Duration kMinRedialDelay = milliseconds(50);
 constexpr Duration kMaxRedialDelay = milliseconds(400);
-constexpr std::size_t kHeaderBytes = 12; // Length of the body, id of the call.
-constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kIdBytes = 4;
+constexpr std::size_t kLengthBytes = 8;
+constexpr std::size_t kHeaderBytes = kLengthBytes + kIdBytes;
+constexpr std::uint32_t kIdFlag = 0x80000000; // The protocol's mark of the last word of an id.
+constexpr std::array<char, 8> kHandshake{'\0', 'S', 'P', '\0', '\0', '\x30', '\0', '\0'};
+constexpr std::array<char, 8> kReplierHandshake{'\0', 'S', 'P', '\0', '\0', '\x31', '\0', '\0'};
 
 struct Frame
 {
-    std::uint64_t id = 0;
+    std::uint32_t id = 0;
     std::string body;
 };
 
-std::string encodeFrame(std::uint64_t id, std::string_view body)
+std::string encodeFrame(std::uint32_t id, std::string_view body)
 {
     std::string bytes(kHeaderBytes, '\0');
     auto *header = reinterpret_cast<unsigned char *>(bytes.data());
-    boost::endian::store_big_u32(header, static_cast<std::uint32_t>(body.size()));
-    boost::endian::store_big_u64(header + kLengthBytes, id);
+    boost::endian::store_big_u64(header, body.size() + kIdBytes);
+    boost::endian::store_big_u32(header + kLengthBytes, id);
     bytes.append(body);
     return bytes;
 }
@@ -78,12 +82,13 @@
             return std::nullopt;
         }
         const auto *bytes = reinterpret_cast<const unsigned char *>(header.data());
-        const std::size_t size = boost::endian::load_big_u32(bytes);
-        if (size > kMaxMessageBytes) {
+        const std::uint64_t length = boost::endian::load_big_u64(bytes);
+        if (length < kIdBytes || length > kMaxMessageBytes) {
             this->close();
             return std::nullopt;
         }
-        Frame frame{boost::endian::load_big_u64(bytes + kLengthBytes), {}};
+        const std::size_t size = static_cast<std::size_t>(length) - kIdBytes;
+        Frame frame{boost::endian::load_big_u32(bytes + kLengthBytes), {}};
         // Grows with the bytes that arrive, so that a length alone costs no memory.
         constexpr std::size_t kPart = 64 * 1024;
         while (frame.body.size() < size) {
@@ -98,7 +103,7 @@
     }
 
     /// Queues a frame; does not suspend.
-    void send(std::uint64_t id, std::string_view body)
+    void send(std::uint32_t id, std::string_view body)
     {
         if (this->isClosed) {
             return;
@@ -164,6 +169,18 @@
     TimePoint heard;
 };
 
+bool shakeHands(beast::tcp_stream &stream)
+{
+    const IoResult written = awaitIo([&](auto handler) {
+        asio::async_write(stream, asio::buffer(kHandshake), std::move(handler));
+    });
+    std::array<char, kReplierHandshake.size()> theirs{};
+    const IoResult read = written.error ? written : awaitIo([&](auto handler) {
+        asio::async_read(stream, asio::buffer(theirs), std::move(handler));
+    });
+    return !read.error && theirs == kReplierHandshake;
+}
+
 absl::StatusOr<tcp::endpoint> resolve(const Endpoint &endpoint)
 {
     error_code error;
@@ -177,111 +194,6 @@
 
 } // namespace
 
-struct PeerServer::Impl : std::enable_shared_from_this<PeerServer::Impl>
-{
-    Impl(FiberRuntime &runtime, Endpoint listen, Handler handler)
-        : runtime(runtime)
-        , listen(std::move(listen))
-        , handler(std::move(handler))
-        , acceptor(runtime.context())
-    { }
-
-    void acceptLoop()
-    {
-        constexpr Duration kPause = milliseconds(20); // Out of descriptors: let some close.
-        while (!this->isStopping) {
-            tcp::socket socket(this->runtime.context());
-            const IoResult result = awaitIo(
-                [&](auto handler) { this->acceptor.async_accept(socket, std::move(handler)); });
-            if (this->isStopping) {
-                return;
-            }
-            if (result.error) {
-                this->runtime.sleepFor(kPause);
-                continue;
-            }
-            const auto connection =
-                std::make_shared<Connection>(this->runtime, beast::tcp_stream(std::move(socket)));
-            this->connections.insert(connection);
-            this->runtime.spawn([self = this->shared_from_this(), connection] {
-                self->serve(connection);
-                self->connections.erase(connection);
-            });
-        }
-    }
-
-    void serve(const std::shared_ptr<Connection> &connection)
-    {
-        while (std::optional<Frame> request = connection->read()) {
-            while (this->handled >= kMaxHandledAtOnce) {
-                this->slotFreed.reset();
-                (void)this->slotFreed.waitFor(seconds(1));
-            }
-            if (this->isStopping) {
-                return;
-            }
-            ++this->handled;
-            this->runtime.spawn(
-                [self = this->shared_from_this(), connection, request = *std::move(request)] {
-                    if (!self->isStopping) {
-                        connection->send(request.id, self->handler(request.body));
-                    }
-                    --self->handled;
-                    self->slotFreed.set();
-                });
-        }
-    }
-
-    FiberRuntime &runtime;
-    const Endpoint listen;
-    const Handler handler;
-    tcp::acceptor acceptor;
-    std::set<std::shared_ptr<Connection>> connections;
-    int handled = 0; ///< Requests under way.
-    FiberEvent slotFreed;
-    bool isStopping = false;
-};
-
-PeerServer::PeerServer(FiberRuntime &runtime, Endpoint listen, Handler handler)
-    : impl(std::make_shared<Impl>(runtime, std::move(listen), std::move(handler)))
-{ }
-
-PeerServer::~PeerServer()
-{
-    this->impl->isStopping = true;
-    error_code ignored;
-    this->impl->acceptor.close(ignored);
-    for (const auto &connection : this->impl->connections) {
-        connection->close();
-    }
-}
-
-absl::Status PeerServer::start()
-{
-    Impl &impl = *this->impl;
-    const absl::StatusOr<tcp::endpoint> endpoint = resolve(impl.listen);
-    if (!endpoint.ok()) {
-        return endpoint.status();
-    }
-    error_code error;
-    impl.acceptor.open(endpoint->protocol(), error);
-    if (!error) {
-        impl.acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-        impl.acceptor.bind(*endpoint, error);
-    }
-    if (!error) {
-        impl.acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return failure(absl::StatusCode::kUnavailable, "listen for peers", impl.listen.text(),
-                       error.message());
-    }
-    impl.runtime.post([shared = this->impl] { shared->acceptLoop(); });
-    return absl::OkStatus();
-}
-
 struct PeerClient::Impl : std::enable_shared_from_this<PeerClient::Impl>
 {
     explicit Impl(FiberRuntime &runtime)
@@ -299,7 +211,7 @@
     struct Link
     {
         Endpoint peer;
-        std::map<std::uint64_t, std::shared_ptr<Call>> pending; ///< By id.
+        std::map<std::uint32_t, std::shared_ptr<Call>> pending; ///< By id.
         std::shared_ptr<Connection> connection;                 ///< Null while there is none.
         bool isRunning = false;                                 ///< There is a fiber for it.
     };
@@ -325,8 +237,9 @@
             std::chrono::duration_cast<std::chrono::steady_clock::duration>(kConnectTimeout));
         const IoResult result =
             awaitIo([&](auto handler) { stream.async_connect(*endpoint, std::move(handler)); });
-        return result.error ? nullptr
-                            : std::make_shared<Connection>(this->runtime, std::move(stream));
+        return !result.error && shakeHands(stream)
+            ? std::make_shared<Connection>(this->runtime, std::move(stream))
+            : nullptr;
     }
 
     /// Keeps a connection while it lives, and makes one while calls are pending.
@@ -360,7 +273,7 @@
 
     FiberRuntime &runtime;
     std::map<std::string, std::shared_ptr<Link>, std::less<>> links; ///< By the peer's address.
-    std::uint64_t lastId = 0;
+    std::uint32_t lastId = 0;
     bool isStopping = false;
 };
 
@@ -381,7 +294,7 @@
 absl::StatusOr<std::string> PeerClient::call(const Endpoint &peer, std::string_view message,
                                              Duration timeout)
 {
-    if (message.size() > kMaxMessageBytes) {
+    if (message.size() + kIdBytes > kMaxMessageBytes) {
         return failure(absl::StatusCode::kInvalidArgument, "call", peer.text(),
                        "the message is too long");
     }
@@ -390,7 +303,7 @@
     const TimePoint beganAt = SystemClock().now();
     const auto call = std::make_shared<Impl::Call>();
     call->message = std::string(message);
-    const std::uint64_t id = ++impl->lastId;
+    const std::uint32_t id = ++impl->lastId | kIdFlag;
     link->pending.emplace(id, call);
     if (link->connection) {
         link->connection->send(id, call->message);
--- a/libs/settings/src/SiteSettings.cpp
+++ b/libs/settings/src/SiteSettings.cpp
@@ -48,6 +48,7 @@
 ParsedSiteSettings parseSiteSettings(std::string_view text)
 {
     constexpr int kMostConnections = 1'000'000;
+    constexpr int kMostMemoryMb = 1'000'000;
     ParsedSiteSettings parsed;
     SiteSettings &settings = parsed.settings;
     JsonDocument document(text);
@@ -87,6 +88,11 @@
         settings.hedging.extraShare =
             hedging.number("extraShare", 0, kMostExtra, settings.hedging.extraShare);
         hedging.finish();
+        ObjectReader limits = root.child("limits");
+        settings.memoryMb = static_cast<int>(limits.number("memoryMb", 0, kMostMemoryMb, 0));
+        settings.maxDescriptors =
+            static_cast<int>(limits.number("maxDescriptors", 0, kMostConnections, 0));
+        limits.finish();
         settings.bounds = readBounds(root.child("bounds"));
         root.finish();
     }
