--- a/libs/runtime/src/PeerLink.cpp
+++ b/libs/runtime/src/PeerLink.cpp
@@ -1,6 +1,7 @@
-// The requesting side of the protocol that PeerServer describes, on one TCP connection to each
-// peer; a reply begins with the id of its request. A connection that is closed, by whichever side
-// and at whatever moment, only ends its own fibers.
+// The requesting side of the protocol between instances, nng's request protocol over TCP: a
+// handshake of eight bytes from both sides, then messages of a length (eight bytes), the id of the
+// call (four) and the body; a reply bears the id of its request. A connection that is closed, by
+// whichever side and at whatever moment, only ends its own fibers.
 #include <runtime/PeerLink.h>
 
 #include "AwaitIo.h"
@@ -11,6 +12,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/endian/conversion.hpp>
@@ -19,7 +21,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <utility>
 
 namespace basilnotch {
@@ -32,17 +33,17 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::size_t kMaxMessageBytes = 8 * 1024 * 1024;
-/// Of a peer that does not read what it has asked for.
+/// Of requests to a peer that does not read them.
 constexpr std::size_t kMaxQueuedBytes = 2 * kMaxMessageBytes;
 constexpr Duration kConnectTimeout = milliseconds(400);
 constexpr Duration kMinRedialDelay = milliseconds(50);
 constexpr Duration kMaxRedialDelay = milliseconds(400);
-constexpr std::size_t kLengthBytes = 8;
 constexpr std::size_t kIdBytes = 4;
-constexpr std::size_t kHeaderBytes = kLengthBytes + kIdBytes; // The length counts the id.
-constexpr std::uint32_t kIdMark = 0x8000'0000; ///< Set in each id: no further word follows it.
+constexpr std::size_t kLengthBytes = 8;
+constexpr std::size_t kHeaderBytes = kLengthBytes + kIdBytes;
+constexpr std::uint32_t kIdFlag = 0x80000000; // The protocol's mark of the last word of an id.
 constexpr std::array<char, 8> kHandshake{'\0', 'S', 'P', '\0', '\0', '\x30', '\0', '\0'};
-constexpr std::array<char, 8> kPeerHandshake{'\0', 'S', 'P', '\0', '\0', '\x31', '\0', '\0'};
+constexpr std::array<char, 8> kReplierHandshake{'\0', 'S', 'P', '\0', '\0', '\x31', '\0', '\0'};
 
 struct Frame
 {
@@ -54,7 +55,7 @@
 {
     std::string bytes(kHeaderBytes, '\0');
     auto *header = reinterpret_cast<unsigned char *>(bytes.data());
-    boost::endian::store_big_u64(header, kIdBytes + body.size());
+    boost::endian::store_big_u64(header, body.size() + kIdBytes);
     boost::endian::store_big_u32(header + kLengthBytes, id);
     bytes.append(body);
     return bytes;
@@ -73,16 +74,6 @@
         tuneSocket(this->stream.socket());
     }
 
-    /// Whether the other side speaks the protocol. Call it before anything else.
-    bool shakeHands()
-    {
-        this->queue.emplace_back(kHandshake.begin(), kHandshake.end());
-        this->queuedBytes += kHandshake.size();
-        this->startWriting();
-        std::array<char, kPeerHandshake.size()> theirs{};
-        return this->readInto(theirs.data(), theirs.size()) && theirs == kPeerHandshake;
-    }
-
     /// The next frame; empty when the connection has ended.
     std::optional<Frame> read()
     {
@@ -96,7 +87,7 @@
             this->close();
             return std::nullopt;
         }
-        const std::size_t size = length - kIdBytes;
+        const std::size_t size = static_cast<std::size_t>(length) - kIdBytes;
         Frame frame{boost::endian::load_big_u32(bytes + kLengthBytes), {}};
         // Grows with the bytes that arrive, so that a length alone costs no memory.
         constexpr std::size_t kPart = 64 * 1024;
@@ -121,8 +112,8 @@
         this->queuedBytes += this->queue.back().size();
         if (this->queuedBytes > kMaxQueuedBytes) {
             this->close();
-        } else {
-            this->startWriting();
+        } else if (!std::exchange(this->isWriting, true)) {
+            this->runtime.spawn([self = this->shared_from_this()] { self->writeQueue(); });
         }
     }
 
@@ -135,13 +126,6 @@
     TimePoint heardAt() const { return this->heard; }
 
 private:
-    void startWriting()
-    {
-        if (!std::exchange(this->isWriting, true)) {
-            this->runtime.spawn([self = this->shared_from_this()] { self->writeQueue(); });
-        }
-    }
-
     bool readInto(char *to, std::size_t size)
     {
         std::size_t done = 0;
@@ -185,6 +169,18 @@
     TimePoint heard;
 };
 
+bool shakeHands(beast::tcp_stream &stream)
+{
+    const IoResult written = awaitIo([&](auto handler) {
+        asio::async_write(stream, asio::buffer(kHandshake), std::move(handler));
+    });
+    std::array<char, kReplierHandshake.size()> theirs{};
+    const IoResult read = written.error ? written : awaitIo([&](auto handler) {
+        asio::async_read(stream, asio::buffer(theirs), std::move(handler));
+    });
+    return !read.error && theirs == kReplierHandshake;
+}
+
 absl::StatusOr<tcp::endpoint> resolve(const Endpoint &endpoint)
 {
     error_code error;
@@ -241,11 +237,9 @@
             std::chrono::duration_cast<std::chrono::steady_clock::duration>(kConnectTimeout));
         const IoResult result =
             awaitIo([&](auto handler) { stream.async_connect(*endpoint, std::move(handler)); });
-        if (result.error) {
-            return nullptr;
-        }
-        auto connection = std::make_shared<Connection>(this->runtime, std::move(stream));
-        return connection->shakeHands() ? connection : nullptr;
+        return !result.error && shakeHands(stream)
+            ? std::make_shared<Connection>(this->runtime, std::move(stream))
+            : nullptr;
     }
 
     /// Keeps a connection while it lives, and makes one while calls are pending.
@@ -309,7 +303,7 @@
     const TimePoint beganAt = SystemClock().now();
     const auto call = std::make_shared<Impl::Call>();
     call->message = std::string(message);
-    const std::uint32_t id = ++impl->lastId | kIdMark;
+    const std::uint32_t id = ++impl->lastId | kIdFlag;
     link->pending.emplace(id, call);
     if (link->connection) {
         link->connection->send(id, call->message);
