Streams: one without a first event is begun anew at another upstream

Cause: a stream that may run again waited to its deadline when its answer was lost before the first event; only idempotent requests had a limit on an attempt. The last attempt of an idempotent request had that limit as well, though no other follows it. Change: half of the goal for the first event, or four times the expected prefill; the last attempt has all the time left.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -40,6 +40,11 @@
 /// Share of the remaining time that the first attempt of an idempotent request gets, so that a
 /// retry can still answer in time.
 constexpr double kFirstAttemptShare = 0.45;
+/// Share of a stream's goal after which it is begun anew at another upstream if it has no event:
+/// the upstream may have lost the answer, and a second run can still begin in time.
+constexpr double kFirstEventShareOfGoal = 0.5;
+/// A prefill that takes less than this multiple of its expected time is slow, but under way.
+constexpr int kSlowPrefillFactor = 4;
 /// Events after which an upstream has survived a prompt: one that crashes as it begins to answer
 /// may still have sent the first.
 constexpr std::int64_t kEventsOfSoundPrompt = 2;
@@ -300,14 +305,20 @@
     return isWithinBudget;
 }
 
-Duration RequestForwarder::responseTimeout() const
+Duration RequestForwarder::responseTimeout(Duration expectedPrefillTime) const
 {
     const Duration left = this->timeLeft();
     const Route &route = *this->request.route;
-    const bool isLastAttempt = this->sendCount >= route.maxAttempts;
-    if (isLastAttempt || route.kind != RouteKind::Idempotent) {
+    const bool isLastAttempt = this->sendCount + 1 >= route.maxAttempts;
+    if (isLastAttempt || !route.mayRunAgain()) {
         return left;
     }
+    if (route.kind == RouteKind::Streaming) {
+        const Duration slowPrefill = kSlowPrefillFactor * expectedPrefillTime;
+        return std::min(
+            left,
+            std::max(fromSeconds(kFirstEventShareOfGoal * toSeconds(route.goal)), slowPrefill));
+    }
     return std::max(fromSeconds(kFirstAttemptShare * toSeconds(left)), std::min(left, route.goal));
 }
 
@@ -348,7 +359,7 @@
         forwardOptions.lastEventId = this->stream.lastEventId();
     }
     CallOptions options;
-    options.timeout = this->responseTimeout();
+    options.timeout = this->responseTimeout(lease.expectedPrefillTime());
     options.connectTimeout = std::min(kConnectTimeout, this->timeLeft());
     options.freshConnection = !this->request.route->mayRunAgain();
     options.correlation =
--- a/kernel/src/relay/RequestForwarder.h
+++ b/kernel/src/relay/RequestForwarder.h
@@ -123,7 +123,8 @@
     bool isInUse(const UpstreamRecord &upstream) const;
     /// Whether the request may be sent to another upstream after `outcome`; consumes retry budget.
     bool tryAcquireRetry(AttemptOutcome outcome);
-    Duration responseTimeout() const;
+    /// How long an answer may take to begin, so that a repeat can still be of use.
+    Duration responseTimeout(Duration expectedPrefillTime) const;
     Duration queueTimeout() const;
     Duration timeLeft() const;
     /// Ends a request for which no upstream gave a complete answer.
