--- a/libs/decision/include/decision/UpstreamPicker.h
+++ b/libs/decision/include/decision/UpstreamPicker.h
@@ -201,6 +201,7 @@
     PromptSources findPromptSources(const PickQuery &query);
     /// The candidate that all instances select for a shared prompt; null without candidates.
     static const UpstreamRecord *homeEngine(const PickQuery &query);
+    /// The estimate for a single upstream; score() gets those of all candidates at once.
     UpstreamLoad loadOf(const UpstreamRecord &upstream, int liveInstances);
     Scored score(const UpstreamRef &upstream, const State &state, const UpstreamLoad &load,
                  const PickQuery &query, const PromptSources &sources) const;
