Roll-outs: a collector that takes over approves a version by the answers that it has followed

Cause: a report has totals. An instance that becomes a collector late gets the answers from before and after a version turned bad as one sum, in which the many good ones hide the latest failures, and could approve the version. Class: a sum taken for a sequence.

Fix: the tally keeps the evidence twice, once without the good answers of each reporter's first report. A collector that began more than three seconds after the roll-out approves by that one; the two others, which have been there all the time, are not held up.

Measured: 'a collector that takes over approves a version by the answers that it has followed' fails without the condition (100 good and 5 bad answers in one report: approved at once) and passes with it.

--- a/kernel/src/site/RolloutController.cpp
+++ b/kernel/src/site/RolloutController.cpp
@@ -35,6 +35,8 @@
 constexpr double kMinNewToOldRatio = 0.5;
 /// Answers of both versions by the deadline, of which the canary's share suffices for a finding.
 constexpr double kMinAnswersForFinding = 200;
+/// A collector that has begun to collect no later than this has followed the new version's answers.
+constexpr Duration kMaxCollectingDelay = seconds(3);
 /// Before this a collector can't tell how many requests the service gets.
 constexpr Duration kMinCollectingTime = seconds(3);
 
@@ -446,7 +448,8 @@
         this->hold(tracked, "not sound at its deadline", oldVersion, newVersion);
         return;
     }
-    const bool isSound = tally.isSound();
+    const bool hasFollowed = collected->collectingFor + kMaxCollectingDelay >= elapsed;
+    const bool isSound = tally.isSound(hasFollowed ? EvidenceScope::All : EvidenceScope::Followed);
     if (!isSound && (tally.isSuspect() || !isSmallService(*collected, tracked.state.deadline))) {
         return;
     }
--- a/kernel/tests/RolloutControllerTest.cpp
+++ b/kernel/tests/RolloutControllerTest.cpp
@@ -19,6 +19,7 @@
 
 constexpr char kService[] = "orders";
 constexpr Duration kStoreTime = seconds(100);
+const Endpoint kNowhere{"127.0.0.1", 1};
 
 /// Records the commits, which all succeed.
 class FakeStore final : public RecordStore
@@ -101,7 +102,8 @@
 {
     explicit Instance(FiberRuntime &runtime)
         : runtime(runtime)
-        , gossip({"one", "one-1", {}, {}, "d", MemberState::Alive}, 2, {}, this->clock, 1)
+        , gossip({"one", "one-1", kNowhere, kNowhere, "d", MemberState::Alive}, 2, {}, this->clock,
+                 1)
         , peers(runtime, this->ownSettings, this->gossip, this->metrics)
         , rollouts(runtime, this->store, this->codec, this->gossip, this->peers, this->clock,
                    this->log)
@@ -119,6 +121,13 @@
     {
         this->rollouts.onInternalRecord({stateKey(), {}, version, true});
     }
+    /// Reports `count` answers of the version on one route.
+    void answer(const std::string &version, AnswerOutcome outcome, int count)
+    {
+        for (int number = 0; number < count; ++number) {
+            this->rollouts.onAnswer({kService, version, "plans", "u@0", outcome, false});
+        }
+    }
     void tick(const UpstreamList &upstreams = {})
     {
         this->rollouts.tick(kStoreTime, upstreams);
@@ -239,3 +248,28 @@
         CHECK(instance.store.states[0].phase == RolloutPhase::Completed);
     });
 }
+
+// Guards against the approval of a version that has just turned bad, by an instance that becomes a
+// collector and gets the answers of before and after in one report.
+TEST_CASE("a collector that takes over approves a version by the answers that it has followed")
+{
+    inFiber([](FiberRuntime &runtime) {
+        Instance instance(runtime);
+        const RecordVersion order = makeVersion(1, 30);
+        RolloutState state = stateOf(order, "v2", RolloutPhase::InProgress);
+        state.startedAt = kStoreTime - seconds(29);
+        instance.order("v2", order);
+        instance.read(state, makeVersion(1, 50));
+        instance.answer("v2", AnswerOutcome::Good, 100);
+        instance.answer("v2", AnswerOutcome::Bad, 5);
+        instance.tick();
+        CHECK(instance.store.states.empty());
+        for (int round = 0; round < 3; ++round) {
+            instance.answer("v2", AnswerOutcome::Good, 20);
+            instance.clock.advance(seconds(1));
+            instance.tick();
+        }
+        REQUIRE(instance.store.states.size() == 1);
+        CHECK(instance.store.states[0].approvedAt);
+    });
+}
--- a/libs/decision/include/decision/VersionTally.h
+++ b/libs/decision/include/decision/VersionTally.h
@@ -52,6 +52,14 @@
     AnswerCounts newVersion;
 };
 
+/// Answers that count as evidence for a sound version. A report has totals and not the order of the
+/// answers, so one that a collector gets late may hide that the version has turned bad.
+enum class EvidenceScope {
+    All,
+    /// Without the good answers in the first report of each reporter.
+    Followed,
+};
+
 /// Belongs to one roll-out. Used by the control thread only.
 class VersionTally
 {
@@ -63,7 +71,7 @@
     const std::map<std::string, VersionReport> &reports() const { return this->latest; }
     /// True while the counts show that the new version is no worse than the old one, and no route
     /// with much of the traffic speaks against it. Few counts show nothing.
-    bool isSound() const;
+    bool isSound(EvidenceScope scope) const;
     /// True while the counts rule out that the new version gives bad answers as seldom as the old
     /// one. Slower answers may have other reasons, such as cold caches.
     bool isUnsound() const;
@@ -76,6 +84,12 @@
     std::map<std::string, VersionCountsPair> totals() const;
 
 private:
+    /// Evidence on all routes.
+    struct Evidence
+    {
+        SoundnessDetector badAnswers;
+        SoundnessDetector slowerAnswers;
+    };
     struct Comparison
     {
         AnswerCounts oldVersion;
@@ -95,8 +109,9 @@
     /// A version that answers several times slower has few answers that are far slower than the
     /// slowest usual ones, but most of its answers are slower than most.
     static RegressionDetectorOptions slowerAnswersOptions();
-    /// Updates the evidence for a sound version with the counts of a route.
-    void updateSoundness(Comparison &comparison);
+    /// Updates the evidence for a sound version with the counts of a route. `isFirst`: they are
+    /// from the first report of a reporter.
+    void updateSoundness(Comparison &comparison, bool isFirst);
     /// Updates the detectors of a route, and those of all routes with the same evidence: routes
     /// differ in how often even a good version fails.
     void updateDetectors(Comparison &comparison);
@@ -108,8 +123,8 @@
 
     std::map<std::string, VersionReport> latest; ///< By reporter.
     std::map<std::string, Comparison> byRoute;   ///< The key "" is the sum of all routes.
-    SoundnessDetector soundness;                 ///< Of the bad answers on all routes.
-    SoundnessDetector soundSpeed;                ///< Of the slower answers on all routes.
+    Evidence all;                                ///< EvidenceScope::All.
+    Evidence followed;                           ///< EvidenceScope::Followed.
     bool found = false;
 };
 
--- a/libs/decision/src/VersionTally.cpp
+++ b/libs/decision/src/VersionTally.cpp
@@ -57,21 +57,26 @@
     return options;
 }
 
-void VersionTally::updateSoundness(Comparison &comparison)
+void VersionTally::updateSoundness(Comparison &comparison, bool isFirst)
 {
     const AnswerCounts &oldVersion = comparison.oldVersion;
     const AnswerCounts &newVersion = comparison.newVersion;
     const double bad = comparison.badLikelihood.update(oldVersion, newVersion);
+    const double slower =
+        comparison.slowLikelihood.update(speedCounts(oldVersion), speedCounts(newVersion));
     comparison.soundness.add(bad);
-    this->soundness.add(bad);
-    this->soundSpeed.add(
-        comparison.slowLikelihood.update(speedCounts(oldVersion), speedCounts(newVersion)));
+    this->all.badAnswers.add(bad);
+    this->all.slowerAnswers.add(slower);
+    this->followed.badAnswers.add(isFirst ? std::max(bad, 0.0) : bad);
+    this->followed.slowerAnswers.add(isFirst ? std::max(slower, 0.0) : slower);
 }
 
-bool VersionTally::isSound() const
+bool VersionTally::isSound(EvidenceScope scope) const
 {
+    const Evidence &evidence = scope == EvidenceScope::All ? this->all : this->followed;
     const auto all = this->byRoute.find("");
-    if (all == this->byRoute.end() || !this->soundness.isSound() || !this->soundSpeed.isSound()) {
+    if (all == this->byRoute.end() || !evidence.badAnswers.isSound()
+        || !evidence.slowerAnswers.isSound()) {
         return false;
     }
     const auto answersOf = [](const Comparison &comparison) {
@@ -86,12 +91,12 @@
 
 bool VersionTally::isUnsound() const
 {
-    return this->soundness.isUnsound();
+    return this->all.badAnswers.isUnsound();
 }
 
 bool VersionTally::isSuspect() const
 {
-    return this->soundness.evidence() > 0;
+    return this->all.badAnswers.evidence() > 0;
 }
 
 void VersionTally::updateDetectors(Comparison &comparison)
@@ -124,7 +129,7 @@
     if (increments.empty()) {
         return std::nullopt; // A repeated report, or one older than the latest.
     }
-    this->latest[report.reporter] = report;
+    const bool isFirst = this->latest.insert_or_assign(report.reporter, report).second;
     std::set<std::string> changed;
     for (const RouteCounts &item : increments) {
         changed.insert(item.route);
@@ -134,7 +139,7 @@
         }
     }
     for (const std::string &route : changed) {
-        this->updateSoundness(this->byRoute[route]);
+        this->updateSoundness(this->byRoute[route], isFirst);
         this->updateDetectors(this->byRoute[route]);
     }
     changed.insert("");
--- a/libs/decision/tests/SoundnessDetectorTest.cpp
+++ b/libs/decision/tests/SoundnessDetectorTest.cpp
@@ -34,27 +34,41 @@
     bool add(const std::vector<FakeRoute> &routes, int answers)
     {
         bool isFound = false;
-        constexpr int kOldAnswers = 8;
-        this->report.routes.resize(2 * routes.size());
         for (int number = 0; number < answers; ++number) {
-            for (std::size_t index = 0; index < routes.size(); ++index) {
-                RouteCounts &newCounts = this->report.routes[2 * index];
-                RouteCounts &oldCounts = this->report.routes[2 * index + 1];
-                newCounts.route = oldCounts.route = routes[index].name;
-                newCounts.isNew = true;
-                this->count(newCounts.counts, routes[index].newBad, routes[index].newSlower);
-                for (int old = 0; old < kOldAnswers; ++old) {
-                    this->count(oldCounts.counts, routes[index].oldBad, routes[index].oldSlower);
-                }
-            }
+            this->countOnce(routes);
             isFound = this->tally.addReport(this->report).has_value() || isFound;
         }
         return isFound;
     }
 
+    /// Like add(), in one report.
+    void addAtOnce(const std::vector<FakeRoute> &routes, int answers)
+    {
+        for (int number = 0; number < answers; ++number) {
+            this->countOnce(routes);
+        }
+        this->tally.addReport(this->report);
+    }
+
     VersionTally tally;
 
 private:
+    void countOnce(const std::vector<FakeRoute> &routes)
+    {
+        constexpr int kOldAnswers = 8;
+        this->report.routes.resize(2 * routes.size());
+        for (std::size_t index = 0; index < routes.size(); ++index) {
+            RouteCounts &newCounts = this->report.routes[2 * index];
+            RouteCounts &oldCounts = this->report.routes[2 * index + 1];
+            newCounts.route = oldCounts.route = routes[index].name;
+            newCounts.isNew = true;
+            this->count(newCounts.counts, routes[index].newBad, routes[index].newSlower);
+            for (int old = 0; old < kOldAnswers; ++old) {
+                this->count(oldCounts.counts, routes[index].oldBad, routes[index].oldSlower);
+            }
+        }
+    }
+
     void count(AnswerCounts &counts, double bad, double slower)
     {
         const auto draw = [this](double share) {
@@ -77,7 +91,7 @@
     for (std::uint64_t seed = 0; seed < kRollouts; ++seed) {
         FakeRollout rollout(seed);
         rollout.add(routes, answers);
-        sound += rollout.tally.isSound() ? 1 : 0;
+        sound += rollout.tally.isSound(EvidenceScope::All) ? 1 : 0;
     }
     return static_cast<double>(sound) / kRollouts;
 }
@@ -88,9 +102,9 @@
 TEST_CASE("a version of which little has been seen is neither sound nor unsound", "[sound]")
 {
     FakeRollout rollout(1);
-    CHECK_FALSE(rollout.tally.isSound());
+    CHECK_FALSE(rollout.tally.isSound(EvidenceScope::All));
     rollout.add({{"plans", 0, 0}}, 12);
-    CHECK_FALSE(rollout.tally.isSound());
+    CHECK_FALSE(rollout.tally.isSound(EvidenceScope::All));
     CHECK_FALSE(rollout.tally.isUnsound());
     CHECK_FALSE(rollout.tally.isSuspect());
 }
@@ -126,10 +140,10 @@
     const FakeRoute failing{"short", 1, 1};
     FakeRollout rollout(1);
     rollout.add({failing, {"plans", 0, 0}}, 300);
-    CHECK(rollout.tally.isSound());
+    CHECK(rollout.tally.isSound(EvidenceScope::All));
     FakeRollout alone(1);
     alone.add({failing}, 1000);
-    CHECK_FALSE(alone.tally.isSound());
+    CHECK_FALSE(alone.tally.isSound(EvidenceScope::All));
     CHECK_FALSE(alone.tally.isUnsound());
 }
 
@@ -155,13 +169,25 @@
     for (std::uint64_t seed = 0; seed < kRollouts; ++seed) {
         FakeRollout rollout(seed);
         rollout.add({{"plans", 0, 0}}, 100);
-        CHECK(rollout.tally.isSound());
+        CHECK(rollout.tally.isSound(EvidenceScope::All));
         rollout.add({{"plans", 0, 0.4}}, 12);
-        sound += rollout.tally.isSound() ? 1 : 0;
+        sound += rollout.tally.isSound(EvidenceScope::All) ? 1 : 0;
     }
     CHECK(sound <= kRollouts / 10);
 }
 
+// Guards against a version that has just turned bad and looks sound to an instance that takes over
+// as a collector: it gets the answers of before and after in one report.
+TEST_CASE("good answers in the first report of a reporter are not followed", "[sound]")
+{
+    FakeRollout rollout(1);
+    rollout.addAtOnce({{"plans", 0, 0}}, 100);
+    CHECK(rollout.tally.isSound(EvidenceScope::All));
+    CHECK_FALSE(rollout.tally.isSound(EvidenceScope::Followed));
+    rollout.add({{"plans", 0, 0}}, 40);
+    CHECK(rollout.tally.isSound(EvidenceScope::Followed));
+}
+
 TEST_CASE("a version that fails one in five requests is found unsound in the end", "[sound]")
 {
     constexpr int kRollouts = 200;
