Roll-outs: each route with much of the traffic must speak for a version

What callers saw: a version that fails one kind of request was completed (EXPOSURE).

Cause: a version was sound if no route with a tenth of the traffic spoke strongly against it. A route of which little had been seen, or two failures in ten answers, did not stand in the way: what the other routes had shown counted for it.

Fix: each such route must speak for the version by itself, unless the old version often fails there, where a canary's answers show nothing. So that single failures of good versions don't weigh more than before, the sum of the evidence may fall a little further below its threshold.

Measured: 'a version is not sound while a route with much of the traffic does not speak for it' fails with the former constant.

--- a/libs/decision/include/decision/SoundnessDetector.h
+++ b/libs/decision/include/decision/SoundnessDetector.h
@@ -23,6 +23,8 @@
     /// new in `newVersion`, above 0 if they speak for the second hypothesis. 0 where nearly all
     /// answers of the old version are bad.
     double update(const AnswerCounts &oldVersion, const AnswerCounts &newVersion);
+    /// Estimated share of the old version's answers that are bad.
+    double baselineShare(const AnswerCounts &oldVersion) const;
 
 private:
     const double baselineFloor;
--- a/libs/decision/include/decision/VersionTally.h
+++ b/libs/decision/include/decision/VersionTally.h
@@ -69,8 +69,8 @@
     std::optional<VersionFinding> addReport(const VersionReport &report);
     /// Latest report of each reporter, to be passed to an instance that becomes a collector.
     const std::map<std::string, VersionReport> &reports() const { return this->latest; }
-    /// True while the counts show that the new version is no worse than the old one, and no route
-    /// with much of the traffic speaks against it. Few counts show nothing.
+    /// True while the counts show that the new version is no worse than the old one, and each route
+    /// with much of the traffic speaks for it. Few counts show nothing.
     bool isSound(EvidenceScope scope) const;
     /// True while the counts rule out that the new version gives bad answers as seldom as the old
     /// one. Slower answers may have other reasons, such as cold caches.
@@ -112,6 +112,9 @@
     /// Updates the evidence for a sound version with the counts of a route. `isFirst`: they are
     /// from the first report of a reporter.
     void updateSoundness(Comparison &comparison, bool isFirst);
+    /// Whether each route with much of the traffic speaks for the new version, unless the old one
+    /// often fails on it.
+    bool isSoundByRoute() const;
     /// Updates the detectors of a route, and those of all routes with the same evidence: routes
     /// differ in how often even a good version fails.
     void updateDetectors(Comparison &comparison);
--- a/libs/decision/src/SoundnessDetector.cpp
+++ b/libs/decision/src/SoundnessDetector.cpp
@@ -16,8 +16,8 @@
 /// How likely the answers may be under the hypothesis that is ruled out, relative to the other one.
 constexpr double kSoundRatio = 0.08;
 constexpr double kUnsoundRatio = 0.0067;
-/// How far the sum may fall below the threshold.
-constexpr double kSpareEvidence = 1;
+/// How far the sum may fall below the threshold: a single failure leaves a sound version sound.
+constexpr double kSpareEvidence = 1.5;
 
 } // namespace
 
@@ -26,6 +26,12 @@
     , addedShare(addedShare)
 { }
 
+double AnswerLikelihood::baselineShare(const AnswerCounts &oldVersion) const
+{
+    return (static_cast<double>(oldVersion.bad) + kFloorWeight * this->baselineFloor)
+        / (static_cast<double>(oldVersion.answers) + kFloorWeight);
+}
+
 double AnswerLikelihood::update(const AnswerCounts &oldVersion, const AnswerCounts &newVersion)
 {
     const auto answers = static_cast<double>(newVersion.answers - this->seen.answers);
@@ -35,9 +41,7 @@
     const double bad =
         std::clamp(static_cast<double>(newVersion.bad - this->seen.bad), 0.0, answers);
     this->seen = newVersion;
-    const double baseline =
-        (static_cast<double>(oldVersion.bad) + kFloorWeight * this->baselineFloor)
-        / (static_cast<double>(oldVersion.answers) + kFloorWeight);
+    const double baseline = this->baselineShare(oldVersion);
     if (baseline > kMaxBaselineShare) {
         return 0;
     }
--- a/libs/decision/src/VersionTally.cpp
+++ b/libs/decision/src/VersionTally.cpp
@@ -10,8 +10,10 @@
 
 /// Share of a service's answers from which on a route counts by itself.
 constexpr double kMinRouteShare = 0.1;
-/// Evidence against the new version on such a route, as a log likelihood ratio.
-constexpr double kMaxRouteEvidence = 1;
+/// Evidence that such a route must show for the new version, as a log likelihood ratio.
+constexpr double kMaxRouteEvidence = -0.8;
+/// Where the old version fails more often, the few answers of a canary show nothing by themselves.
+constexpr double kMaxRouteBaseline = 0.25;
 
 /// Counts for the route and version of `like`; zero if there are none.
 AnswerCounts findCounts(const std::vector<RouteCounts> &routes, const RouteCounts &like)
@@ -74,18 +76,22 @@
 bool VersionTally::isSound(EvidenceScope scope) const
 {
     const Evidence &evidence = scope == EvidenceScope::All ? this->all : this->followed;
-    const auto all = this->byRoute.find("");
-    if (all == this->byRoute.end() || !evidence.badAnswers.isSound()
-        || !evidence.slowerAnswers.isSound()) {
-        return false;
-    }
+    return evidence.badAnswers.isSound() && evidence.slowerAnswers.isSound()
+        && this->isSoundByRoute();
+}
+
+bool VersionTally::isSoundByRoute() const
+{
     const auto answersOf = [](const Comparison &comparison) {
         return static_cast<double>(comparison.oldVersion.answers + comparison.newVersion.answers);
     };
-    const double least = kMinRouteShare * answersOf(all->second);
-    return std::none_of(this->byRoute.begin(), this->byRoute.end(), [&](const auto &item) {
-        return item.second.soundness.evidence() > kMaxRouteEvidence
-            && answersOf(item.second) >= least;
+    const auto sum = this->byRoute.find("");
+    const double least = sum == this->byRoute.end() ? 0 : kMinRouteShare * answersOf(sum->second);
+    return std::all_of(this->byRoute.begin(), this->byRoute.end(), [&](const auto &item) {
+        const Comparison &comparison = item.second;
+        return item.first.empty() || answersOf(comparison) < least
+            || comparison.badLikelihood.baselineShare(comparison.oldVersion) > kMaxRouteBaseline
+            || comparison.soundness.evidence() <= kMaxRouteEvidence;
     });
 }
 
--- a/libs/decision/tests/SoundnessDetectorTest.cpp
+++ b/libs/decision/tests/SoundnessDetectorTest.cpp
@@ -162,6 +162,16 @@
     CHECK(soundShare(routes, 20) <= 0.1);
 }
 
+// Guards against a version that fails one kind of request and is completed as little has been seen
+// of that kind.
+TEST_CASE("a version is not sound while a route with much of the traffic does not speak for it",
+          "[sound]")
+{
+    const std::vector<FakeRoute> routes{{"plans", 0, 0.2}, {"questions", 0, 0}, {"notes", 0, 0}};
+    CHECK(soundShare(routes, 10) <= 0.2);
+    CHECK(soundShare({{"plans", 0, 0}, {"questions", 0, 0}, {"notes", 0, 0}}, 10) == 1);
+}
+
 TEST_CASE("a version that turns bad is not sound any more after a few answers", "[sound]")
 {
     constexpr int kRollouts = 200;
