Roll-outs: a service with few requests needs answers that speak for a version

Cause: where the canary can't give enough answers by the deadline, a version was approved as long as its failures did not outweigh its good answers, without any answers as well.

Fix: such a version needs ten good answers or more, and each route with much of the traffic must speak for it; the speed of its answers still says nothing there. A service that gets no requests at all is approved as before.

Why a test changes: VersionTally::isSuspect() is gone with its only use. The check that twelve good answers do not make a version suspect became one that they make it probably sound, which is stricter.

Measured: 'on a service with few requests a version needs answers that speak for it' and 'a version of which next to nothing has been seen is not even probably sound' fail with the former threshold of 0.

--- a/kernel/src/site/RolloutController.cpp
+++ b/kernel/src/site/RolloutController.cpp
@@ -61,14 +61,17 @@
         && static_cast<double>(newReady) >= kMinNewToOldRatio * static_cast<double>(oldReady);
 }
 
+std::int64_t answersOf(const VersionTally &tally)
+{
+    return tally.total(true).answers + tally.total(false).answers;
+}
+
 /// Whether the service gets so few requests that the canary can't give enough answers for a finding
 /// by the deadline.
 bool isSmallService(const CollectedCounts &collected, Duration deadline)
 {
-    const std::int64_t answers =
-        collected.tally->total(true).answers + collected.tally->total(false).answers;
     return collected.collectingFor >= kMinCollectingTime
-        && static_cast<double>(answers) * toSeconds(deadline)
+        && static_cast<double>(answersOf(*collected.tally)) * toSeconds(deadline)
         < kMinAnswersForFinding * toSeconds(collected.collectingFor);
 }
 
@@ -450,7 +453,10 @@
     }
     const bool hasFollowed = collected->collectingFor + kMaxCollectingDelay >= elapsed;
     const bool isSound = tally.isSound(hasFollowed ? EvidenceScope::All : EvidenceScope::Followed);
-    if (!isSound && (tally.isSuspect() || !isSmallService(*collected, tracked.state.deadline))) {
+    const bool isUnused = answersOf(tally) == 0;
+    const bool isSmallAndSound = isSmallService(*collected, tracked.state.deadline)
+        && (isUnused || (hasFollowed && tally.isProbablySound()));
+    if (!isSound && !isSmallAndSound) {
         return;
     }
     this->log.write(LogKind::State, "roll-out approved",
--- a/kernel/tests/RolloutControllerTest.cpp
+++ b/kernel/tests/RolloutControllerTest.cpp
@@ -273,3 +273,30 @@
         CHECK(instance.store.states[0].approvedAt);
     });
 }
+
+// Guards against a bad version that is completed on a service with few requests, as nothing speaks
+// against it yet.
+TEST_CASE("on a service with few requests a version needs answers that speak for it")
+{
+    inFiber([](FiberRuntime &runtime) {
+        Instance instance(runtime);
+        const RecordVersion order = makeVersion(1, 30);
+        RolloutState state = stateOf(order, "v2", RolloutPhase::InProgress);
+        state.startedAt = kStoreTime - seconds(27); // Too soon for an approval.
+        instance.order("v2", order);
+        instance.read(state, makeVersion(1, 50));
+        instance.answer("v1", AnswerOutcome::Good, 30);
+        instance.answer("v2", AnswerOutcome::Good, 6);
+        instance.tick();
+        instance.clock.advance(seconds(27));
+        state.startedAt = kStoreTime - seconds(29);
+        instance.read(state, makeVersion(1, 51));
+        instance.tick();
+        CHECK(instance.store.states.empty());
+        instance.answer("v2", AnswerOutcome::Good, 6);
+        instance.clock.advance(seconds(1));
+        instance.tick();
+        REQUIRE(instance.store.states.size() == 1);
+        CHECK(instance.store.states[0].approvedAt);
+    });
+}
--- a/libs/decision/src/VersionTally.cpp
+++ b/libs/decision/src/VersionTally.cpp
@@ -12,6 +12,8 @@
 constexpr double kMinRouteShare = 0.1;
 /// Evidence that such a route must show for the new version, as a log likelihood ratio.
 constexpr double kMaxRouteEvidence = -0.8;
+/// Evidence on all routes that makes a version probably sound, as a log likelihood ratio.
+constexpr double kProbablySoundEvidence = -1.5;
 /// Where the old version fails more often, the few answers of a canary show nothing by themselves.
 constexpr double kMaxRouteBaseline = 0.25;
 
@@ -100,9 +102,9 @@
     return this->all.badAnswers.isUnsound();
 }
 
-bool VersionTally::isSuspect() const
+bool VersionTally::isProbablySound() const
 {
-    return this->all.badAnswers.evidence() > 0;
+    return this->all.badAnswers.evidence() <= kProbablySoundEvidence && this->isSoundByRoute();
 }
 
 void VersionTally::updateDetectors(Comparison &comparison)
--- a/libs/decision/tests/SoundnessDetectorTest.cpp
+++ b/libs/decision/tests/SoundnessDetectorTest.cpp
@@ -106,7 +106,19 @@
     rollout.add({{"plans", 0, 0}}, 12);
     CHECK_FALSE(rollout.tally.isSound(EvidenceScope::All));
     CHECK_FALSE(rollout.tally.isUnsound());
-    CHECK_FALSE(rollout.tally.isSuspect());
+    CHECK(rollout.tally.isProbablySound());
+}
+
+// Guards against a bad version that a service with few requests completes because nothing speaks
+// against it yet.
+TEST_CASE("a version of which next to nothing has been seen is not even probably sound", "[sound]")
+{
+    FakeRollout rollout(1);
+    CHECK_FALSE(rollout.tally.isProbablySound());
+    rollout.add({{"plans", 0, 0}}, 5);
+    CHECK_FALSE(rollout.tally.isProbablySound());
+    rollout.add({{"plans", 0, 0}}, 5);
+    CHECK(rollout.tally.isProbablySound());
 }
 
 TEST_CASE("a good version is sound after forty answers", "[sound]")
