Roll-outs: answers whose speed can't be judged yet don't count as good ones

Cause: an instance that has less than five usual answers of a route can't tell a far slower one, and counted each as good. Class: absence of evidence taken for evidence of absence.

Fix: good answers of either version are not counted before there is something to compare them with. Failures count from the beginning; both versions are treated alike, so their shares stay comparable.

'the speed of an answer is not known before there are usual ones' does not compile before.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -683,7 +683,8 @@
         speed = this->context.slowAnswerDetector.checkAndRecord(
             route, took, attempt.lease.expectedPrefillTime(), !attempt.isNewVersion);
     }
-    if (!attempt.isRolloutActive) {
+    const bool mayBeSlow = outcome == AnswerOutcome::Good && !speed.isKnown;
+    if (!attempt.isRolloutActive || mayBeSlow) {
         return;
     }
     const UpstreamRecord &upstream = attempt.lease.upstream();
--- a/kernel/src/relay/SlowAnswerDetector.h
+++ b/kernel/src/relay/SlowAnswerDetector.h
@@ -14,6 +14,7 @@
 
 struct AnswerSpeed
 {
+    bool isKnown = false;     ///< There are enough answers to compare with.
     bool isFarSlower = false; ///< Than the mean.
     bool isSlower = false;    ///< Than nine in ten answers.
 };
@@ -30,8 +31,8 @@
         Baseline &baseline = this->baselines[route];
         const double relative = toSeconds(took) / toSeconds(expected + kBaseLatency);
         AnswerSpeed speed;
-        speed.isFarSlower =
-            baseline.answers >= kMinAnswers && relative > kSlowFactor * baseline.mean;
+        speed.isKnown = baseline.answers >= kMinAnswers;
+        speed.isFarSlower = speed.isKnown && relative > kSlowFactor * baseline.mean;
         speed.isSlower =
             baseline.answers >= kMinAnswersForDecile && relative > baseline.upperDecile();
         if (isBaseline) {
--- a/kernel/tests/SlowAnswerDetectorTest.cpp
+++ b/kernel/tests/SlowAnswerDetectorTest.cpp
@@ -54,3 +54,19 @@
     CHECK(sharesAt(1).slower < 0.2);
     CHECK(sharesAt(1).farSlower < 0.05);
 }
+
+// Guards against slow answers that count as good ones because there is nothing to compare them
+// with.
+TEST_CASE("the speed of an answer is not known before there are usual ones", "[slow]")
+{
+    SlowAnswerDetector detector;
+    const auto check = [&](bool isBaseline) {
+        return detector.checkAndRecord("plans", milliseconds(200), milliseconds(100), isBaseline);
+    };
+    constexpr int kFewAnswers = 5;
+    for (int number = 0; number < kFewAnswers; ++number) {
+        CHECK_FALSE(check(false).isKnown);
+        CHECK_FALSE(check(true).isKnown);
+    }
+    CHECK(check(false).isKnown);
+}
