Roll-outs: a version of a service that gets next to no requests does not wait for answers

Where requests have ceased, or hardly come, they never arrive, and the roll-out of a good version has no end.

It is no test of this case on purpose, so there is one now.

Fix: below 60 answers of both versions by the deadline a version is approved unless its failures speak against it, as before: a bad version reaches hardly anyone there.

--- a/kernel/src/site/RolloutController.cpp
+++ b/kernel/src/site/RolloutController.cpp
@@ -35,6 +35,9 @@
 constexpr double kMinNewToOldRatio = 0.5;
 /// Answers of both versions by the deadline, of which the canary's share suffices for a finding.
 constexpr double kMinAnswersForFinding = 200;
+/// With fewer answers by the deadline a bad version reaches hardly anyone, and to wait for more may
+/// take for ever.
+constexpr double kMinAnswersForExposure = 60;
 /// A collector that has begun to collect no later than this has followed the new version's answers.
 constexpr Duration kMaxCollectingDelay = seconds(3);
 /// Before this a collector can't tell how many requests the service gets.
@@ -61,18 +64,28 @@
         && static_cast<double>(newReady) >= kMinNewToOldRatio * static_cast<double>(oldReady);
 }
 
-std::int64_t answersOf(const VersionTally &tally)
+/// Answers of both versions by the deadline, if they go on as they come; empty while a collector
+/// can't tell.
+std::optional<double> expectedAnswers(const CollectedCounts &collected, Duration deadline)
 {
-    return tally.total(true).answers + tally.total(false).answers;
+    if (collected.collectingFor < kMinCollectingTime) {
+        return std::nullopt;
+    }
+    const std::int64_t answers =
+        collected.tally->total(true).answers + collected.tally->total(false).answers;
+    return static_cast<double>(answers) * toSeconds(deadline) / toSeconds(collected.collectingFor);
 }
 
-/// Whether the service gets so few requests that the canary can't give enough answers for a finding
-/// by the deadline.
-bool isSmallService(const CollectedCounts &collected, Duration deadline)
+/// Whether the few answers of a service whose canary can't give enough for a finding suffice for an
+/// approval. `hasFollowed`: the collector has followed the new version's answers.
+bool isSoundEnough(const CollectedCounts &collected, Duration deadline, bool hasFollowed)
 {
-    return collected.collectingFor >= kMinCollectingTime
-        && static_cast<double>(answersOf(*collected.tally)) * toSeconds(deadline)
-        < kMinAnswersForFinding * toSeconds(collected.collectingFor);
+    const std::optional<double> expected = expectedAnswers(collected, deadline);
+    if (!expected || *expected >= kMinAnswersForFinding) {
+        return false;
+    }
+    return *expected < kMinAnswersForExposure ? !collected.tally->isSuspect()
+                                              : hasFollowed && collected.tally->isProbablySound();
 }
 
 /// Whether a record of a later epoch with `state` is from before `known`.
@@ -453,10 +466,7 @@
     }
     const bool hasFollowed = collected->collectingFor + kMaxCollectingDelay >= elapsed;
     const bool isSound = tally.isSound(hasFollowed ? EvidenceScope::All : EvidenceScope::Followed);
-    const bool isUnused = answersOf(tally) == 0;
-    const bool isSmallAndSound = isSmallService(*collected, tracked.state.deadline)
-        && (isUnused || (hasFollowed && tally.isProbablySound()));
-    if (!isSound && !isSmallAndSound) {
+    if (!isSound && !isSoundEnough(*collected, tracked.state.deadline, hasFollowed)) {
         return;
     }
     this->log.write(LogKind::State, "roll-out approved",
--- a/kernel/tests/RolloutControllerTest.cpp
+++ b/kernel/tests/RolloutControllerTest.cpp
@@ -285,7 +285,7 @@
         state.startedAt = kStoreTime - seconds(27); // Too soon for an approval.
         instance.order("v2", order);
         instance.read(state, makeVersion(1, 50));
-        instance.answer("v1", AnswerOutcome::Good, 30);
+        instance.answer("v1", AnswerOutcome::Good, 90);
         instance.answer("v2", AnswerOutcome::Good, 6);
         instance.tick();
         instance.clock.advance(seconds(27));
@@ -300,3 +300,25 @@
         CHECK(instance.store.states[0].approvedAt);
     });
 }
+
+// Guards against a roll-out that waits for answers which never come.
+TEST_CASE("a version of a service that gets next to no requests does not wait for answers")
+{
+    inFiber([](FiberRuntime &runtime) {
+        Instance instance(runtime);
+        const RecordVersion order = makeVersion(1, 30);
+        RolloutState state = stateOf(order, "v2", RolloutPhase::InProgress);
+        state.startedAt = kStoreTime - seconds(27); // Too soon for an approval.
+        instance.order("v2", order);
+        instance.read(state, makeVersion(1, 50));
+        instance.answer("v1", AnswerOutcome::Good, 30);
+        instance.answer("v2", AnswerOutcome::Good, 2);
+        instance.tick();
+        instance.clock.advance(seconds(27));
+        state.startedAt = kStoreTime - seconds(29);
+        instance.read(state, makeVersion(1, 51));
+        instance.tick();
+        REQUIRE(instance.store.states.size() == 1);
+        CHECK(instance.store.states[0].approvedAt);
+    });
+}
--- a/libs/decision/include/decision/VersionTally.h
+++ b/libs/decision/include/decision/VersionTally.h
@@ -78,6 +78,9 @@
     /// True while failures are rare enough to speak clearly for the new version on all routes. It
     /// asks for fewer answers than isSound(), and nothing of their speed.
     bool isProbablySound() const;
+    /// True while the counts speak more for a version with a further share of bad answers than for
+    /// a sound one.
+    bool isSuspect() const;
     /// Counts of the new or the old version over all reporters and routes.
     AnswerCounts total(bool isNew) const;
     /// Counts over all reporters, by route; the key "" is the sum of all routes.
--- a/libs/decision/src/VersionTally.cpp
+++ b/libs/decision/src/VersionTally.cpp
@@ -107,6 +107,11 @@
     return this->all.badAnswers.evidence() <= kProbablySoundEvidence && this->isSoundByRoute();
 }
 
+bool VersionTally::isSuspect() const
+{
+    return this->all.badAnswers.evidence() > 0;
+}
+
 void VersionTally::updateDetectors(Comparison &comparison)
 {
     const AnswerCounts &oldVersion = comparison.oldVersion;
--- a/libs/decision/tests/SoundnessDetectorTest.cpp
+++ b/libs/decision/tests/SoundnessDetectorTest.cpp
@@ -106,6 +106,7 @@
     rollout.add({{"plans", 0, 0}}, 12);
     CHECK_FALSE(rollout.tally.isSound(EvidenceScope::All));
     CHECK_FALSE(rollout.tally.isUnsound());
+    CHECK_FALSE(rollout.tally.isSuspect());
     CHECK(rollout.tally.isProbablySound());
 }
 
