--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -683,6 +683,7 @@
         speed = this->context.slowAnswerDetector.checkAndRecord(
             route, took, attempt.lease.expectedPrefillTime(), !attempt.isNewVersion);
     }
+    // Without usual answers to compare with, a slow answer would count as a good one.
     const bool mayBeSlow = outcome == AnswerOutcome::Good && !speed.isKnown;
     if (!attempt.isRolloutActive || mayBeSlow) {
         return;
