Roll-outs: an approved version is completed only while its answers still speak for it

What callers saw: a bad version that the few answers of its canary had approved by chance was completed within a second, and nothing could take it back then.

Cause: the approval was final. Between it and the completion the new version gets all requests, but no one looked at their answers except the detectors of a clearly worse version; and after a missed deadline it got all of them no longer than before one that is still met, although waiting costs nothing more then.

Change: a collector completes the roll-out, and only while its counts would approve the version again; it holds a version that they have turned against. After a missed deadline the version gets all requests for three seconds more. The counts are logged with "roll-out confirmed". Other instances complete no roll-outs any more, as they approve none.

The late approval's test now gives its version sound answers first, which a completion needs; its moments are the same.

--- a/kernel/src/site/RolloutController.cpp
+++ b/kernel/src/site/RolloutController.cpp
@@ -42,6 +42,9 @@
 constexpr Duration kMaxCollectingDelay = seconds(3);
 /// Before this a collector can't tell how many requests the service gets.
 constexpr Duration kMinCollectingTime = seconds(3);
+/// How long a version that has missed its deadline gets all work before it is completed. Waiting
+/// costs nothing more then, and a canary's few answers may have approved a bad version by chance.
+constexpr Duration kConfirmationTime = seconds(3);
 
 /// Versions that get no traffic when an order to `next` replaces the roll-out `before`, if there
 /// was one.
@@ -88,6 +91,20 @@
                                               : hasFollowed && collected.tally->isProbablySound();
 }
 
+/// Why the answers so far allow the new version to get all work; empty while they don't.
+std::optional<std::string_view> approvalReason(const CollectedCounts &collected,
+                                               const RolloutState &state, Duration elapsed)
+{
+    const bool hasFollowed = collected.collectingFor + kMaxCollectingDelay >= elapsed;
+    if (collected.tally->isSound(hasFollowed ? EvidenceScope::All : EvidenceScope::Followed)) {
+        return "sound";
+    }
+    if (isSoundEnough(collected, state.deadline, hasFollowed)) {
+        return "too few requests for a finding";
+    }
+    return std::nullopt;
+}
+
 /// Whether a record of a later epoch with `state` is from before `known`.
 bool isBehind(const RolloutState &state, const RolloutState &known)
 {
@@ -320,7 +337,16 @@
 void RolloutController::hold(TrackedRollout &tracked, std::string_view reason,
                              const AnswerCounts &oldVersion, const AnswerCounts &newVersion)
 {
-    this->log.write(LogKind::State, "roll-out held",
+    this->logDecision(tracked, "roll-out held", reason, oldVersion, newVersion);
+    this->markHeld(tracked, reason);
+    this->aggregator.broadcastHold({tracked.state.service, tracked.state.order});
+}
+
+void RolloutController::logDecision(const TrackedRollout &tracked, std::string_view event,
+                                    std::string_view reason, const AnswerCounts &oldVersion,
+                                    const AnswerCounts &newVersion) const
+{
+    this->log.write(LogKind::State, event,
                     {{"service", tracked.state.service},
                      {"to", tracked.state.toVersion},
                      {"reason", reason},
@@ -330,8 +356,6 @@
                      {"oldCounted", oldVersion.answers},
                      {"oldBad", oldVersion.bad},
                      {"oldSlower", oldVersion.slower}});
-    this->markHeld(tracked, reason);
-    this->aggregator.broadcastHold({tracked.state.service, tracked.state.order});
 }
 
 void RolloutController::markHeld(TrackedRollout &tracked, std::string_view reason)
@@ -417,16 +441,15 @@
         if (tracked.state.phase != RolloutPhase::InProgress) {
             continue;
         }
-        const Duration delay = this->rankDelay(service);
         const Duration elapsed = *storeTime - tracked.state.startedAt;
         if (tracked.held) {
-            if (this->clock.now() - tracked.heldAt >= delay) {
+            if (this->clock.now() - tracked.heldAt >= this->rankDelay(service)) {
                 this->setPhase(tracked, RolloutPhase::Reverted);
             }
         } else if (!tracked.state.approvedAt) {
             this->assess(tracked, elapsed);
         } else {
-            this->completeIfDue(tracked, elapsed, delay, upstreams);
+            this->completeIfDue(tracked, elapsed, upstreams);
         }
     }
 }
@@ -457,41 +480,49 @@
     if (!collected || !mayApprove(tracked.state, elapsed - kRankStep * collected->rank)) {
         return;
     }
-    const VersionTally &tally = *collected->tally;
-    const AnswerCounts newVersion = tally.total(true);
-    const AnswerCounts oldVersion = tally.total(false);
-    if (tally.isUnsound() && elapsed >= tracked.state.deadline) {
+    const AnswerCounts oldVersion = collected->tally->total(false);
+    const AnswerCounts newVersion = collected->tally->total(true);
+    if (collected->tally->isUnsound() && elapsed >= tracked.state.deadline) {
         this->hold(tracked, "not sound at its deadline", oldVersion, newVersion);
         return;
     }
-    const bool hasFollowed = collected->collectingFor + kMaxCollectingDelay >= elapsed;
-    const bool isSound = tally.isSound(hasFollowed ? EvidenceScope::All : EvidenceScope::Followed);
-    if (!isSound && !isSoundEnough(*collected, tracked.state.deadline, hasFollowed)) {
+    const auto reason = approvalReason(*collected, tracked.state, elapsed);
+    if (!reason) {
         return;
     }
-    this->log.write(LogKind::State, "roll-out approved",
-                    {{"service", service},
-                     {"to", tracked.state.toVersion},
-                     {"reason", isSound ? "sound" : "too few requests for a finding"},
-                     {"newCounted", newVersion.answers},
-                     {"newBad", newVersion.bad},
-                     {"newSlower", newVersion.slower},
-                     {"oldCounted", oldVersion.answers},
-                     {"oldBad", oldVersion.bad},
-                     {"oldSlower", oldVersion.slower}});
+    this->logDecision(tracked, "roll-out approved", *reason, oldVersion, newVersion);
     RolloutState next = tracked.state;
     next.approvedAt = tracked.state.startedAt + elapsed;
     this->commit(tracked, next);
 }
 
-void RolloutController::completeIfDue(TrackedRollout &tracked, Duration elapsed, Duration delay,
+void RolloutController::completeIfDue(TrackedRollout &tracked, Duration elapsed,
                                       const UpstreamList &upstreams)
 {
+    const std::string &service = tracked.state.service;
+    const std::optional<CollectedCounts> collected = this->aggregator.collected(service);
+    if (!collected) {
+        return;
+    }
+    const AnswerCounts oldVersion = collected->tally->total(false);
+    const AnswerCounts newVersion = collected->tally->total(true);
+    if (collected->tally->isUnsound()) {
+        this->hold(tracked, "not sound after its approval", oldVersion, newVersion);
+        return;
+    }
+    const Duration delay = kRankStep * collected->rank;
+    const bool isLate = elapsed > tracked.state.deadline;
     // A store may write the approval so late that the ramp is over before anyone knows of it.
     const Duration knownFor = this->clock.now() - tracked.approvalKnownAt;
-    if (mayComplete(tracked.state, elapsed - delay) && knownFor >= rampTime(tracked.state) + delay
-        && !this->aggregator.isReportOverdue(tracked.state.service)
-        && hasEnoughNewUpstreams(upstreams, tracked.state)) {
+    const Duration needed =
+        rampTime(tracked.state) + (isLate ? kConfirmationTime : Duration::zero()) + delay;
+    if (!mayComplete(tracked.state, elapsed - delay) || knownFor < needed
+        || this->aggregator.isReportOverdue(service)
+        || !hasEnoughNewUpstreams(upstreams, tracked.state)) {
+        return;
+    }
+    if (const auto reason = approvalReason(*collected, tracked.state, elapsed)) {
+        this->logDecision(tracked, "roll-out confirmed", *reason, oldVersion, newVersion);
         this->setPhase(tracked, RolloutPhase::Completed);
     }
 }
--- a/kernel/src/site/RolloutController.h
+++ b/kernel/src/site/RolloutController.h
@@ -92,6 +92,9 @@
     void hold(TrackedRollout &tracked, std::string_view reason, const AnswerCounts &oldVersion,
               const AnswerCounts &newVersion);
     void markHeld(TrackedRollout &tracked, std::string_view reason);
+    /// Logs a decision about the new version with the counts of both versions.
+    void logDecision(const TrackedRollout &tracked, std::string_view event, std::string_view reason,
+                     const AnswerCounts &oldVersion, const AnswerCounts &newVersion) const;
     void onFinding(const std::string &service, const VersionFinding &finding);
     void onHeld(const HeldRollout &held);
     std::vector<HeldRollout> heldRollouts() const;
@@ -102,10 +105,10 @@
     /// Approves the new version if this instance is a collector and its counts allow it; holds one
     /// that the counts are against at its deadline. `elapsed` is the time since the start.
     void assess(TrackedRollout &tracked, Duration elapsed);
-    /// Completes the roll-out of an approved version if it is time and enough of its upstreams are
-    /// ready. `delay`: of this instance, by its rank.
-    void completeIfDue(TrackedRollout &tracked, Duration elapsed, Duration delay,
-                       const UpstreamList &upstreams);
+    /// Completes the roll-out of an approved version if this instance is a collector, its counts
+    /// still allow it and enough of the version's upstreams are ready; holds a version that the
+    /// counts are against. `elapsed` is the time since the start.
+    void completeIfDue(TrackedRollout &tracked, Duration elapsed, const UpstreamList &upstreams);
     void commit(TrackedRollout &tracked, RolloutState next);
 
     FiberRuntime &runtime;
--- a/kernel/tests/RolloutControllerTest.cpp
+++ b/kernel/tests/RolloutControllerTest.cpp
@@ -133,6 +133,19 @@
         this->rollouts.tick(kStoreTime, upstreams);
         this->runtime.sleepFor(milliseconds(5)); // Commits run in fibers of their own.
     }
+    /// Makes this instance a collector that has followed sound answers of "v2".
+    void followSoundAnswers(const RolloutState &started, RecordVersion version)
+    {
+        this->order("v2", started.order);
+        this->read(started, version);
+        this->tick();
+        for (int second = 0; second < 4; ++second) {
+            this->answer("v1", AnswerOutcome::Good, 200);
+            this->answer("v2", AnswerOutcome::Good, 20);
+            this->clock.advance(seconds(1));
+            this->tick();
+        }
+    }
     RolloutState inForce() { return this->rollouts.rollouts(kStoreTime).at(kService).state; }
 
     FiberRuntime &runtime;
@@ -233,10 +246,11 @@
         const UpstreamList upstreams({readyUpstream("v2")});
         const RecordVersion order = makeVersion(1, 30);
         RolloutState state = stateOf(order, "v2", RolloutPhase::InProgress);
+        state.startedAt = kStoreTime - seconds(4);
+        instance.followSoundAnswers(state, makeVersion(1, 50));
         state.startedAt = kStoreTime - state.deadline;
         state.approvedAt = kStoreTime - seconds(2);
-        instance.order("v2", order);
-        instance.read(state, makeVersion(1, 50));
+        instance.read(state, makeVersion(1, 51));
         instance.tick(upstreams);
         CHECK(instance.store.states.empty());
         instance.clock.advance(rampTime(state) - milliseconds(1));
@@ -249,6 +263,66 @@
     });
 }
 
+// Guards against a bad version that a canary's few answers have approved by chance, and that is
+// completed although all requests then show it.
+TEST_CASE("an approved version is completed only while its answers still speak for it")
+{
+    struct Case
+    {
+        int good;
+        int bad;
+        std::vector<RolloutPhase> stored;
+    };
+    for (const Case &late : std::vector<Case>{
+             {20, 0, {RolloutPhase::Completed}}, {0, 2, {}}, {40, 12, {RolloutPhase::Reverted}}}) {
+        inFiber([&late](FiberRuntime &runtime) {
+            Instance instance(runtime);
+            const UpstreamList upstreams({readyUpstream("v2")});
+            const RecordVersion order = makeVersion(1, 30);
+            RolloutState state = stateOf(order, "v2", RolloutPhase::InProgress);
+            state.startedAt = kStoreTime - seconds(4);
+            instance.followSoundAnswers(state, makeVersion(1, 50));
+            state.startedAt = kStoreTime - state.deadline;
+            state.approvedAt = kStoreTime - seconds(2);
+            instance.read(state, makeVersion(1, 51));
+            instance.answer("v2", AnswerOutcome::Good, late.good);
+            instance.answer("v2", AnswerOutcome::Bad, late.bad);
+            instance.clock.advance(rampTime(state));
+            instance.tick(upstreams);
+            instance.tick(upstreams);
+            std::vector<RolloutPhase> stored;
+            for (const RolloutState &next : instance.store.states) {
+                stored.push_back(next.phase);
+            }
+            INFO("good " << late.good << " bad " << late.bad);
+            CHECK(stored == late.stored);
+        });
+    }
+}
+
+// Guards against the completion of a late version that hardly any requests have seen.
+TEST_CASE("a version that has missed its deadline gets all requests for a while first")
+{
+    inFiber([](FiberRuntime &runtime) {
+        Instance instance(runtime);
+        const UpstreamList upstreams({readyUpstream("v2")});
+        const RecordVersion order = makeVersion(1, 30);
+        RolloutState state = stateOf(order, "v2", RolloutPhase::InProgress);
+        state.startedAt = kStoreTime - seconds(4);
+        instance.followSoundAnswers(state, makeVersion(1, 50));
+        state.startedAt = kStoreTime - state.deadline - seconds(10);
+        state.approvedAt = kStoreTime - seconds(5);
+        instance.read(state, makeVersion(1, 51));
+        instance.clock.advance(rampTime(state) + seconds(3) - milliseconds(1));
+        instance.tick(upstreams);
+        CHECK(instance.store.states.empty());
+        instance.clock.advance(milliseconds(1));
+        instance.tick(upstreams);
+        REQUIRE(instance.store.states.size() == 1);
+        CHECK(instance.store.states[0].phase == RolloutPhase::Completed);
+    });
+}
+
 // Guards against the approval of a version that has just turned bad, by an instance that becomes a
 // collector and gets the answers of before and after in one report.
 TEST_CASE("a collector that takes over approves a version by the answers that it has followed")
