Roll-outs: a version whose answers on one route rule it out is taken back at its deadline

What callers saw: a version that fails one kind of request was neither approved nor held.

Cause: a route must speak for the version, but only the sum of all routes could speak against it, and the good answers of the other routes outweigh a bad one.

Change: the counts of each route that counts by itself may rule the version out as well.

--- a/libs/decision/include/decision/VersionTally.h
+++ b/libs/decision/include/decision/VersionTally.h
@@ -72,8 +72,9 @@
     /// True while the counts show that the new version is no worse than the old one, and each route
     /// with much of the traffic speaks for it. Few counts show nothing.
     bool isSound(EvidenceScope scope) const;
-    /// True while the counts rule out that the new version gives bad answers as seldom as the old
-    /// one. Slower answers may have other reasons, such as cold caches.
+    /// True while the counts, all together or those of a route with much of the traffic, rule out
+    /// that the new version gives bad answers as seldom as the old one. Slower answers may have
+    /// other reasons, such as cold caches.
     bool isUnsound() const;
     /// True while failures are rare enough to speak clearly for the new version on all routes. It
     /// asks for fewer answers than isSound(), and nothing of their speed.
@@ -115,8 +116,10 @@
     /// Updates the evidence for a sound version with the counts of a route. `isFirst`: they are
     /// from the first report of a reporter.
     void updateSoundness(Comparison &comparison, bool isFirst);
-    /// Whether each route with much of the traffic speaks for the new version, unless the old one
-    /// often fails on it.
+    /// Routes that count by themselves: with much of the traffic, and on which the old version does
+    /// not often fail. Valid until the next report.
+    std::vector<const Comparison *> comparedRoutes() const;
+    /// Whether each compared route speaks for the new version.
     bool isSoundByRoute() const;
     /// Updates the detectors of a route, and those of all routes with the same evidence: routes
     /// differ in how often even a good version fails.
--- a/libs/decision/src/VersionTally.cpp
+++ b/libs/decision/src/VersionTally.cpp
@@ -83,23 +83,37 @@
 }
 
 bool VersionTally::isSoundByRoute() const
+{
+    const std::vector<const Comparison *> routes = this->comparedRoutes();
+    return std::all_of(routes.begin(), routes.end(), [](const Comparison *comparison) {
+        return comparison->soundness.evidence() <= kMaxRouteEvidence;
+    });
+}
+
+std::vector<const VersionTally::Comparison *> VersionTally::comparedRoutes() const
 {
     const auto answersOf = [](const Comparison &comparison) {
         return static_cast<double>(comparison.oldVersion.answers + comparison.newVersion.answers);
     };
     const auto sum = this->byRoute.find("");
     const double least = sum == this->byRoute.end() ? 0 : kMinRouteShare * answersOf(sum->second);
-    return std::all_of(this->byRoute.begin(), this->byRoute.end(), [&](const auto &item) {
-        const Comparison &comparison = item.second;
-        return item.first.empty() || answersOf(comparison) < least
-            || comparison.badLikelihood.baselineShare(comparison.oldVersion) > kMaxRouteBaseline
-            || comparison.soundness.evidence() <= kMaxRouteEvidence;
-    });
+    std::vector<const Comparison *> compared;
+    for (const auto &[route, comparison] : this->byRoute) {
+        const double baseline = comparison.badLikelihood.baselineShare(comparison.oldVersion);
+        if (!route.empty() && answersOf(comparison) >= least && baseline <= kMaxRouteBaseline) {
+            compared.push_back(&comparison);
+        }
+    }
+    return compared;
 }
 
 bool VersionTally::isUnsound() const
 {
-    return this->all.badAnswers.isUnsound();
+    const std::vector<const Comparison *> routes = this->comparedRoutes();
+    return this->all.badAnswers.isUnsound()
+        || std::any_of(routes.begin(), routes.end(), [](const Comparison *comparison) {
+               return comparison->soundness.isUnsound();
+           });
 }
 
 bool VersionTally::isProbablySound() const
--- a/libs/decision/tests/SoundnessDetectorTest.cpp
+++ b/libs/decision/tests/SoundnessDetectorTest.cpp
@@ -228,6 +228,29 @@
     CHECK(falselyUnsound <= kRollouts / 100);
 }
 
+// Guards against a version whose failures for one kind of request are outweighed by its good
+// answers on the other routes, so that it is neither approved nor taken back.
+TEST_CASE("a version that fails on one of four routes is found unsound in the end", "[sound]")
+{
+    constexpr int kRollouts = 200;
+    constexpr int kAnswers = 100;
+    const FakeRoute other{"other", 0.02, 0.02};
+    const FakeRoute third{"third", 0.02, 0.02};
+    const FakeRoute fourth{"fourth", 0.02, 0.02};
+    int unsound = 0;
+    int falselyUnsound = 0;
+    for (std::uint64_t seed = 0; seed < kRollouts; ++seed) {
+        FakeRollout bad(seed);
+        bad.add({{"plans", 0.02, 0.25}, other, third, fourth}, kAnswers);
+        unsound += bad.tally.isUnsound() ? 1 : 0;
+        FakeRollout good(seed);
+        good.add({{"plans", 0.02, 0.02}, other, third, fourth}, kAnswers);
+        falselyUnsound += good.tally.isUnsound() ? 1 : 0;
+    }
+    CHECK(unsound >= kRollouts * 8 / 10);
+    CHECK(falselyUnsound <= kRollouts / 100);
+}
+
 // Guards against a good version that is taken back as it fails on a route on which the old one
 // fails as well.
 TEST_CASE("a route that always fails does not take a good version back", "[sound]")
