--- a/kernel/src/site/RolloutController.cpp
+++ b/kernel/src/site/RolloutController.cpp
@@ -42,8 +42,8 @@
 constexpr Duration kMaxCollectingDelay = seconds(3);
 /// Before this a collector can't tell how many requests the service gets.
 constexpr Duration kMinCollectingTime = seconds(3);
-/// How long a version that has missed its deadline gets all work before it is completed. Waiting
-/// costs nothing more then, and a canary's few answers may have approved a bad version by chance.
+/// How long a version that has missed its deadline gets all work before it is completed. A canary's
+/// few answers may have approved a bad version by chance.
 constexpr Duration kConfirmationTime = seconds(3);
 
 /// Versions that get no traffic when an order to `next` replaces the roll-out `before`, if there
