Roll-outs: an answer whose caller left counts when it was late already

Cause: an attempt whose caller left before the answer began was reported to no collector, so a slow version was judged by the answers that were worth waiting for. Class: censored observations left out of a sample, on the side that the test looks for.

Change: if the caller leaves, and the answer is by then slower than nine in ten usual ones (or far slower than the mean), it is reported as a bad one, for both versions alike. One that might still have come in time is not counted.

Ruled out: that the counts don't reach a collector (they are equal at both, "roll-out counts").

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -567,6 +567,7 @@
                                                                    const absl::Status &status)
 {
     if (this->exchange.callerGone()) {
+        this->reportUnawaitedAnswer(attempt);
         return AttemptOutcome::Finished;
     }
     if (this->isWithdrawn) {
@@ -694,6 +695,22 @@
          speed.isFarSlower ? AnswerOutcome::Bad : outcome, speed.isSlower});
 }
 
+void RequestForwarder::reportUnawaitedAnswer(const Attempt &attempt)
+{
+    if (!attempt.isRolloutActive) {
+        return;
+    }
+    const std::string &route = this->request.route->name;
+    const AnswerSpeed speed = this->context.slowAnswerDetector.check(
+        route, this->context.clock.now() - attempt.sentAt, attempt.lease.expectedPrefillTime());
+    if (!speed.isSlower && !speed.isFarSlower) {
+        return; // It might have come in time.
+    }
+    const UpstreamRecord &upstream = attempt.lease.upstream();
+    this->context.control.onAnswer({this->request.service, upstream.softwareVersion, route,
+                                    upstream.incarnation(), AnswerOutcome::Bad, true});
+}
+
 void RequestForwarder::recordNotices(const Attempt &attempt, const UpstreamHeaders &upstreamHeaders)
 {
     const std::string &upstream = attempt.lease.upstream().id;
@@ -796,6 +813,9 @@
     const StreamOutcome outcome = this->stream.relay(
         answer, this->context.requestCodec.toCallerHeaders(answer.headers()), hooks);
     if (outcome == StreamOutcome::CallerGone) {
+        if (!hasFirstEvent) {
+            this->reportUnawaitedAnswer(attempt);
+        }
         return AttemptOutcome::Finished;
     }
     if (outcome == StreamOutcome::Complete) {
--- a/kernel/src/relay/RequestForwarder.h
+++ b/kernel/src/relay/RequestForwarder.h
@@ -101,6 +101,9 @@
     /// Records the prefill time of the prompt when the first token arrives.
     void recordPrefillTime(const Attempt &attempt);
     void reportAnswer(const Attempt &attempt, AnswerOutcome outcome, Duration took);
+    /// Reports an answer that has not begun when the caller leaves. Callers leave slow answers more
+    /// often than fast ones, so without these a slow version would look like a sound one.
+    void reportUnawaitedAnswer(const Attempt &attempt);
     void reportCrash(const UpstreamRecord &upstream);
     /// Reports the upstream's crash, if it has crashed, to the quarantine of requests, and to that
     /// of prompt parts unless the prompt has been survived; `hasBegun`: the answer had begun.
--- a/kernel/src/relay/SlowAnswerDetector.h
+++ b/kernel/src/relay/SlowAnswerDetector.h
@@ -28,20 +28,36 @@
     AnswerSpeed checkAndRecord(const std::string &route, Duration took, Duration expected,
                                bool isBaseline)
     {
-        Baseline &baseline = this->baselines[route];
-        const double relative = toSeconds(took) / toSeconds(expected + kBaseLatency);
+        const AnswerSpeed speed = this->check(route, took, expected);
+        if (isBaseline) {
+            this->baselines[route].add(relativeTime(took, expected));
+        }
+        return speed;
+    }
+
+    /// The comparison alone, for an answer that has taken at least `took`.
+    AnswerSpeed check(const std::string &route, Duration took, Duration expected) const
+    {
+        const auto found = this->baselines.find(route);
+        if (found == this->baselines.end()) {
+            return {};
+        }
+        const Baseline &baseline = found->second;
+        const double relative = relativeTime(took, expected);
         AnswerSpeed speed;
         speed.isKnown = baseline.answers >= kMinAnswers;
         speed.isFarSlower = speed.isKnown && relative > kSlowFactor * baseline.mean;
         speed.isSlower =
             baseline.answers >= kMinAnswersForDecile && relative > baseline.upperDecile();
-        if (isBaseline) {
-            baseline.add(relative);
-        }
         return speed;
     }
 
 private:
+    static double relativeTime(Duration took, Duration expected)
+    {
+        return toSeconds(took) / toSeconds(expected + kBaseLatency);
+    }
+
     static constexpr int kSlowFactor = 3; ///< Multiple of the mean beyond which an answer is slow.
     static constexpr int kMinAnswers = 5; ///< Samples needed before an answer can count as slow.
     static constexpr int kMinAnswersForDecile = 10;
