Roll-outs: an answer that is overdue counts before it has come

Cause: an answer is reported when it has come or failed. Slow answers of the new version that were sent in the last seconds before the deadline are still under way then; only the fast ones of the same seconds are counted.

Change: while a roll-out is under way, an attempt that was sent and has waited for three times the usual mean is reported as bad at once, for both versions alike, and not again when it ends. Attempts that have not been sent yet are left out, as before.

Ruled out: a time-out that comes first, as drafts may not be sent again.

--- a/kernel/src/relay/RelayContext.h
+++ b/kernel/src/relay/RelayContext.h
@@ -50,6 +50,8 @@
     RolloutInitialQuota &initialQuota;
     /// Requests under way whose prompts have shared parts.
     std::set<RequestForwarder *> &activePrompts;
+    /// Requests under way to services that have a roll-out.
+    std::set<RequestForwarder *> &rolloutRequests;
 };
 
 } // namespace basilnotch
--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -243,6 +243,7 @@
         }
         const AttemptOutcome outcome = this->attempt(acquired.lease);
         this->currentAttempt = nullptr;
+        this->context.rolloutRequests.erase(this);
         if (outcome == AttemptOutcome::Finished) {
             return;
         }
@@ -343,7 +344,7 @@
     return attempt;
 }
 
-HedgedSend::Answer RequestForwarder::open(const Attempt &attempt, CallCanceller &sendCanceller)
+HedgedSend::Answer RequestForwarder::open(Attempt &attempt, CallCanceller &sendCanceller)
 {
     UpstreamLease &lease = attempt.lease;
     const UpstreamRecord &upstream = lease.upstream();
@@ -364,9 +365,10 @@
     options.freshConnection = !this->request.route->mayRunAgain();
     options.correlation =
         Correlation{this->context.requestCodec.correlationHeader(), this->request.caller.requestId};
-    options.isStillWanted = [this, &upstream, &lease] {
-        return !this->isWithdrawn && !this->exchange.callerGone() && this->isInUse(upstream)
-            && lease.trySend();
+    options.isStillWanted = [this, &upstream, &lease, &attempt] {
+        attempt.isSent = !this->isWithdrawn && !this->exchange.callerGone()
+            && this->isInUse(upstream) && lease.trySend();
+        return attempt.isSent;
     };
     options.body = this->request.http->body;
     const HttpRequest head{this->request.http->method, this->request.http->target,
@@ -380,6 +382,9 @@
 {
     Attempt attempt = this->makeAttempt(*lease);
     this->currentAttempt = &attempt;
+    if (attempt.isRolloutActive) {
+        this->context.rolloutRequests.insert(this);
+    }
     if (this->mayHedge()) {
         return this->attemptHedged(lease, attempt);
     }
@@ -535,12 +540,7 @@
     const Duration took = this->context.clock.now() - loser.sentAt;
     if (!other) {
         // It says nothing of the upstream's health, but of its speed: the other one was faster.
-        if (loser.isRolloutActive) {
-            const UpstreamRecord &upstream = loser.lease.upstream();
-            this->context.control.onAnswer({this->request.service, upstream.softwareVersion,
-                                            this->request.route->name, upstream.incarnation(),
-                                            AnswerOutcome::Good, true});
-        }
+        this->publishAnswer(loser, AnswerOutcome::Good, true);
         return;
     }
     if (!other->ok()) {
@@ -685,30 +685,50 @@
             route, took, attempt.lease.expectedPrefillTime(), !attempt.isNewVersion);
     }
     // Without usual answers to compare with, a slow answer would count as a good one.
-    const bool mayBeSlow = outcome == AnswerOutcome::Good && !speed.isKnown;
-    if (!attempt.isRolloutActive || mayBeSlow) {
+    if (outcome == AnswerOutcome::Good && !speed.isKnown) {
+        return;
+    }
+    this->publishAnswer(attempt, speed.isFarSlower ? AnswerOutcome::Bad : outcome, speed.isSlower);
+}
+
+void RequestForwarder::publishAnswer(const Attempt &attempt, AnswerOutcome outcome, bool isSlower)
+{
+    // A lost connection may be that of a crash, which is counted by itself.
+    const bool isCounted = attempt.isCountedAsBad && outcome != AnswerOutcome::ConnectionLost;
+    if (!attempt.isRolloutActive || isCounted) {
         return;
     }
     const UpstreamRecord &upstream = attempt.lease.upstream();
-    this->context.control.onAnswer(
-        {this->request.service, upstream.softwareVersion, route, upstream.incarnation(),
-         speed.isFarSlower ? AnswerOutcome::Bad : outcome, speed.isSlower});
+    this->context.control.onAnswer({this->request.service, upstream.softwareVersion,
+                                    this->request.route->name, upstream.incarnation(), outcome,
+                                    isSlower});
+}
+
+AnswerSpeed RequestForwarder::speedSoFar(const Attempt &attempt) const
+{
+    return this->context.slowAnswerDetector.check(this->request.route->name,
+                                                  this->context.clock.now() - attempt.sentAt,
+                                                  attempt.lease.expectedPrefillTime());
 }
 
 void RequestForwarder::reportUnawaitedAnswer(const Attempt &attempt)
 {
-    if (!attempt.isRolloutActive) {
+    const AnswerSpeed speed = this->speedSoFar(attempt);
+    if (speed.isSlower || speed.isFarSlower) { // Any other might have come in time.
+        this->publishAnswer(attempt, AnswerOutcome::Bad, true);
+    }
+}
+
+void RequestForwarder::reportOverdueAnswer()
+{
+    Attempt *attempt = this->currentAttempt;
+    if (!attempt || !attempt->isSent || attempt->hasFirstEvent || attempt->isCountedAsBad) {
         return;
     }
-    const std::string &route = this->request.route->name;
-    const AnswerSpeed speed = this->context.slowAnswerDetector.check(
-        route, this->context.clock.now() - attempt.sentAt, attempt.lease.expectedPrefillTime());
-    if (!speed.isSlower && !speed.isFarSlower) {
-        return; // It might have come in time.
+    if (this->speedSoFar(*attempt).isFarSlower) {
+        this->publishAnswer(*attempt, AnswerOutcome::Bad, true);
+        attempt->isCountedAsBad = true;
     }
-    const UpstreamRecord &upstream = attempt.lease.upstream();
-    this->context.control.onAnswer({this->request.service, upstream.softwareVersion, route,
-                                    upstream.incarnation(), AnswerOutcome::Bad, true});
 }
 
 void RequestForwarder::recordNotices(const Attempt &attempt, const UpstreamHeaders &upstreamHeaders)
@@ -781,7 +801,6 @@
     const Route &route = *this->request.route;
     const Duration stallTimeout =
         std::max(fromSeconds(kStallFactor * toSeconds(route.gapTarget)), kMinStallTimeout);
-    bool hasFirstEvent = false;
     TimePoint firstEventAt{};
     StreamRateSample rateSample;
     // Called before each read: records the stream's rate and returns the timeout of the read.
@@ -789,17 +808,18 @@
         if (this->stream.events() - attempt.eventsBefore >= kEventsOfSoundPrompt) {
             this->onPromptAnswered(attempt);
         }
-        if (hasFirstEvent) {
+        if (attempt.hasFirstEvent) {
             this->recordStreamRate(&rateSample);
         }
-        const bool mayFailOver = hasFirstEvent && route.canResume && this->stream.canResume()
-            && this->sendCount < route.maxAttempts && route.gapTarget > Duration::zero();
+        const bool mayFailOver = attempt.hasFirstEvent && route.canResume
+            && this->stream.canResume() && this->sendCount < route.maxAttempts
+            && route.gapTarget > Duration::zero();
         return mayFailOver ? std::min(stallTimeout, this->timeLeft()) : this->timeLeft();
     };
     StreamRelayHooks hooks;
     hooks.maxPause = beforeRead;
     hooks.onFirstEvent = [&] {
-        hasFirstEvent = true;
+        attempt.hasFirstEvent = true;
         firstEventAt = this->context.clock.now();
         if (!this->timeToFirstEvent) {
             this->timeToFirstEvent = firstEventAt - this->request.arrivedAt;
@@ -813,7 +833,7 @@
     const StreamOutcome outcome = this->stream.relay(
         answer, this->context.requestCodec.toCallerHeaders(answer.headers()), hooks);
     if (outcome == StreamOutcome::CallerGone) {
-        if (!hasFirstEvent) {
+        if (!attempt.hasFirstEvent) {
             this->reportUnawaitedAnswer(attempt);
         }
         return AttemptOutcome::Finished;
--- a/kernel/src/relay/RequestForwarder.h
+++ b/kernel/src/relay/RequestForwarder.h
@@ -16,6 +16,8 @@
 
 namespace basilnotch {
 
+struct AnswerSpeed;
+
 /// Runs in the fiber of the caller's connection.
 ///
 ///     RequestForwarder(context, std::move(request), exchange).run();
@@ -27,6 +29,9 @@
     /// Ends a request with a quarantined prompt part, unless its upstream has already answered
     /// beyond the beginning.
     void withdrawIfQuarantined();
+    /// During a roll-out: reports an answer that is far later than usual as a bad one before it has
+    /// come. A version whose late answers are still to come would otherwise look sound.
+    void reportOverdueAnswer();
 
 private:
     void forward();
@@ -52,6 +57,9 @@
         PromptQuarantine::PromptChains promptChains;
         std::int64_t eventsBefore = 0;  ///< Events that earlier attempts have relayed.
         bool hasSurvivedPrompt = false; ///< The upstream has answered beyond the beginning.
+        bool isSent = false;            ///< Something may have reached the upstream.
+        bool hasFirstEvent = false;     ///< Of a stream.
+        bool isCountedAsBad = false;    ///< See reportOverdueAnswer().
     };
 
     /// Start of the current measurement interval of a stream's event rate.
@@ -70,7 +78,7 @@
     /// Records the send that follows.
     Attempt makeAttempt(UpstreamLease &lease);
     /// Sends the request and waits until its answer begins.
-    HedgedSend::Answer open(const Attempt &attempt, CallCanceller &sendCanceller);
+    HedgedSend::Answer open(Attempt &attempt, CallCanceller &sendCanceller);
     /// `lease` is afterwards that of the upstream whose answer was taken.
     AttemptOutcome attempt(std::unique_ptr<UpstreamLease> &lease);
     /// As attempt(), with a second send when the first one is late.
@@ -104,6 +112,9 @@
     /// Reports an answer that has not begun when the caller leaves. Callers leave slow answers more
     /// often than fast ones, so without these a slow version would look like a sound one.
     void reportUnawaitedAnswer(const Attempt &attempt);
+    void publishAnswer(const Attempt &attempt, AnswerOutcome outcome, bool isSlower);
+    /// Of an answer that has not come yet.
+    AnswerSpeed speedSoFar(const Attempt &attempt) const;
     void reportCrash(const UpstreamRecord &upstream);
     /// Reports the upstream's crash, if it has crashed, to the quarantine of requests, and to that
     /// of prompt parts unless the prompt has been survived; `hasBegun`: the answer had begun.
@@ -148,7 +159,7 @@
     FiberEvent queueCancelled;
     HedgedSend *hedgedSend = nullptr;      ///< Under way.
     HttpStream *currentResponse = nullptr; ///< The response being read; closed on disconnect.
-    const Attempt *currentAttempt = nullptr;
+    Attempt *currentAttempt = nullptr;
     bool isWithdrawn = false; ///< See withdrawIfQuarantined().
     std::string model;        ///< Chosen by the instance for a request that names no model.
     /// Upstreams whose answers were dropped at their beginning, before they could crash.
--- a/kernel/src/relay/SiteServer.cpp
+++ b/kernel/src/relay/SiteServer.cpp
@@ -144,7 +144,8 @@
                   this->retryBudgets,
                   this->hedgePolicies,
                   this->initialQuota,
-                  this->activePrompts}
+                  this->activePrompts,
+                  this->rolloutRequests}
         , relayHandler(this->context)
         , directory(this->context, hash64(settings.instance, 3))
         , readiness(this->context)
@@ -285,6 +286,9 @@
             refusedSends.set(this->warmup.refusedSends());
             this->reportInvalidPaces();
             this->withdrawQuarantined();
+            for (RequestForwarder *request : this->rolloutRequests) {
+                request->reportOverdueAnswer();
+            }
             this->scheduler.dispatchWaiters();
             this->gossip.refresh();
             this->client.closeExpired();
@@ -323,6 +327,7 @@
     std::map<std::string, HedgePolicy> hedgePolicies;
     RolloutInitialQuota initialQuota;
     std::set<RequestForwarder *> activePrompts;
+    std::set<RequestForwarder *> rolloutRequests;
     std::shared_ptr<const Catalog> warmupCatalog; ///< That the rates of `warmup` are from.
     std::optional<TimePoint> latestQuarantine;    ///< Requests under way have been checked for it.
     std::int64_t loggedInvalidPaces = 0;
