Roll-outs: an attempt is reported once, whatever follows its answer

Cause, read in the code of: an attempt stays current while its buffered answer is passed on, so the check for overdue answers may look at one that has been reported already and count it again.

Change: the attempt keeps whether its answer has been reported, instead of only whether the check has done so. A lost connection is still reported after that, as it may be a crash.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -676,7 +676,7 @@
         || this->context.promptQuarantine.findQuarantined(this->request.sharedPromptParts);
 }
 
-void RequestForwarder::reportAnswer(const Attempt &attempt, AnswerOutcome outcome, Duration took)
+void RequestForwarder::reportAnswer(Attempt &attempt, AnswerOutcome outcome, Duration took)
 {
     const std::string &route = this->request.route->name;
     AnswerSpeed speed;
@@ -686,16 +686,16 @@
     }
     // Without usual answers to compare with, a slow answer would count as a good one.
     if (outcome == AnswerOutcome::Good && !speed.isKnown) {
+        attempt.isReported = true;
         return;
     }
     this->publishAnswer(attempt, speed.isFarSlower ? AnswerOutcome::Bad : outcome, speed.isSlower);
 }
 
-void RequestForwarder::publishAnswer(const Attempt &attempt, AnswerOutcome outcome, bool isSlower)
+void RequestForwarder::publishAnswer(Attempt &attempt, AnswerOutcome outcome, bool isSlower)
 {
-    // A lost connection may be that of a crash, which is counted by itself.
-    const bool isCounted = attempt.isCountedAsBad && outcome != AnswerOutcome::ConnectionLost;
-    if (!attempt.isRolloutActive || isCounted) {
+    const bool wasReported = std::exchange(attempt.isReported, true);
+    if (!attempt.isRolloutActive || (wasReported && outcome != AnswerOutcome::ConnectionLost)) {
         return;
     }
     const UpstreamRecord &upstream = attempt.lease.upstream();
@@ -711,7 +711,7 @@
                                                   attempt.lease.expectedPrefillTime());
 }
 
-void RequestForwarder::reportUnawaitedAnswer(const Attempt &attempt)
+void RequestForwarder::reportUnawaitedAnswer(Attempt &attempt)
 {
     const AnswerSpeed speed = this->speedSoFar(attempt);
     if (speed.isSlower || speed.isFarSlower) { // Any other might have come in time.
@@ -722,12 +722,11 @@
 void RequestForwarder::reportOverdueAnswer()
 {
     Attempt *attempt = this->currentAttempt;
-    if (!attempt || !attempt->isSent || attempt->hasFirstEvent || attempt->isCountedAsBad) {
+    if (!attempt || !attempt->isSent || attempt->hasFirstEvent || attempt->isReported) {
         return;
     }
     if (this->speedSoFar(*attempt).isFarSlower) {
         this->publishAnswer(*attempt, AnswerOutcome::Bad, true);
-        attempt->isCountedAsBad = true;
     }
 }
 
--- a/kernel/src/relay/RequestForwarder.h
+++ b/kernel/src/relay/RequestForwarder.h
@@ -59,7 +59,7 @@
         bool hasSurvivedPrompt = false; ///< The upstream has answered beyond the beginning.
         bool isSent = false;            ///< Something may have reached the upstream.
         bool hasFirstEvent = false;     ///< Of a stream.
-        bool isCountedAsBad = false;    ///< See reportOverdueAnswer().
+        bool isReported = false;        ///< Its answer has been counted, or need not be.
     };
 
     /// Start of the current measurement interval of a stream's event rate.
@@ -108,11 +108,13 @@
     void recordStreamRate(StreamRateSample *sample) const;
     /// Records the prefill time of the prompt when the first token arrives.
     void recordPrefillTime(const Attempt &attempt);
-    void reportAnswer(const Attempt &attempt, AnswerOutcome outcome, Duration took);
+    void reportAnswer(Attempt &attempt, AnswerOutcome outcome, Duration took);
     /// Reports an answer that has not begun when the caller leaves. Callers leave slow answers more
     /// often than fast ones, so without these a slow version would look like a sound one.
-    void reportUnawaitedAnswer(const Attempt &attempt);
-    void publishAnswer(const Attempt &attempt, AnswerOutcome outcome, bool isSlower);
+    void reportUnawaitedAnswer(Attempt &attempt);
+    /// Reports the answer unless that has been done; a lost connection is always reported, as it
+    /// may be a crash, which is counted by itself.
+    void publishAnswer(Attempt &attempt, AnswerOutcome outcome, bool isSlower);
     /// Of an answer that has not come yet.
     AnswerSpeed speedSoFar(const Attempt &attempt) const;
     void reportCrash(const UpstreamRecord &upstream);
