HTTP client: a number outside 100 to 599 is no status

What callers saw: an upstream in trouble answered with the status 000 and the caller got it as an answer, with the upstream's body.

Cause: the parser takes any three digits for a status and nothing after it looked at the range. Whatever asks whether an answer is a failure asks for 500 and above, so 000 also counted as a good answer for the health of its upstream and for roll-outs, and a hedged request took it for the winner.

Change: the client refuses such a head, as it does one that can't be parsed. Every reader of answers uses this client: requests and their retries, hedges, resumed streams and cascades, health checks, the store, other instances and the own interface. The request may have run, so the caller gets a 502 and only requests that may run again are retried.

--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -10,6 +10,7 @@
 #include <absl/strings/cord.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -41,6 +42,9 @@
 constexpr std::size_t kMaxFramingBytes = 1024 * 1024;
 /// Of the body of another request's answer; a longer one ends the connection.
 constexpr std::size_t kMaxSkippedBytes = 1024 * 1024;
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+constexpr int kFirstFinalStatus = 200; // Below it are interim answers.
 constexpr char kProgressPayload[] = "basilnotch/nothing-sent";
 
 std::chrono::steady_clock::duration inClock(Duration value)
@@ -211,8 +215,7 @@
     {
         for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
             const absl::Status header = this->readOneHeader(timeUntil(until));
-            constexpr int kHundred = 100;
-            if (!header.ok() || this->status() / kHundred != 1) {
+            if (!header.ok() || this->status() >= kFirstFinalStatus) {
                 return header;
             }
         }
@@ -235,6 +238,10 @@
         if (result.error) {
             return callFailure("read header", this->peer, result.error, SendProgress::MaybeSent);
         }
+        if (this->status() < kFirstStatus || this->status() > kLastStatus) {
+            return failure(absl::StatusCode::kDataLoss, "read header", this->peer.text(),
+                           absl::StrCat("status ", this->status()));
+        }
         this->endsAtClose = this->parser->need_eof();
         for (const auto &field : this->parser->get()) {
             this->plainHeaders.add(std::string(field.name_string()), std::string(field.value()));
