HTTP client: an answer that switches protocols fails at once

What callers saw: no answer before their deadline when an upstream answered 101.

Cause: 101 was skipped like the interim answers 100 and 103, but no other answer follows it on its connection.

Change: 101 is an error of the answer's head. No request asks for another protocol: Upgrade and Connection are not passed on to upstreams.

--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -45,6 +45,7 @@
 constexpr int kFirstStatus = 100;
 constexpr int kLastStatus = 599;
 constexpr int kFirstFinalStatus = 200; // Below it are interim answers.
+constexpr int kSwitchingProtocols = 101;
 constexpr char kProgressPayload[] = "basilnotch/nothing-sent";
 
 std::chrono::steady_clock::duration inClock(Duration value)
@@ -218,6 +219,10 @@
             if (!header.ok() || this->status() >= kFirstFinalStatus) {
                 return header;
             }
+            if (this->status() == kSwitchingProtocols) { // No request asks for it.
+                return failure(absl::StatusCode::kDataLoss, "read header", this->peer.text(),
+                               "another protocol");
+            }
         }
         return failure(absl::StatusCode::kDataLoss, "read header", this->peer.text(),
                        "interim answers only");
--- a/libs/runtime/tests/AnswerHeadTest.cpp
+++ b/libs/runtime/tests/AnswerHeadTest.cpp
@@ -47,7 +47,7 @@
 // Guards against a number that is no status and is taken for the status of an answer.
 TEST_CASE("an answer has a status from 200 to 599")
 {
-    for (const char *status : {"000", "001", "099", "600", "999"}) {
+    for (const char *status : {"000", "001", "099", "101", "600", "999"}) {
         checkAnswer(withStatus(status), false);
     }
     for (const char *status : {"200", "299", "404", "500", "599"}) {
