HTTP client: chunked is the only transfer coding of an answer

What callers saw: a 200 whose body was not the upstream's: the chunk heads stood in it, or it was compressed without a word of it.

Cause: the parser frames a body by the end of the connection, or by its length, when the last transfer coding is not "chunked", and decodes only the chunks when others stand before it. Transfer-Encoding concerns one connection and is not passed on, so the caller could not tell.

Change: one field "chunked" or none; any other head is refused like one that can't be parsed. Only chunked is ever asked for, as TE is not passed on to upstreams.

--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -4,6 +4,7 @@
 
 #include "AwaitIo.h"
 #include "SocketOptions.h"
+#include "TransferCoding.h"
 
 #include <runtime/FiberRuntime.h>
 
@@ -247,6 +248,10 @@
             return failure(absl::StatusCode::kDataLoss, "read header", this->peer.text(),
                            absl::StrCat("status ", this->status()));
         }
+        if (!hasKnownTransferCoding(this->parser->get())) {
+            return failure(absl::StatusCode::kDataLoss, "read header", this->peer.text(),
+                           "unknown transfer coding");
+        }
         this->endsAtClose = this->parser->need_eof();
         for (const auto &field : this->parser->get()) {
             this->plainHeaders.add(std::string(field.name_string()), std::string(field.value()));
--- a/libs/runtime/tests/AnswerHeadTest.cpp
+++ b/libs/runtime/tests/AnswerHeadTest.cpp
@@ -42,6 +42,11 @@
     return absl::StrCat("HTTP/1.1 ", status, " Text\r\nContent-Length: 4\r\n\r\nbody");
 }
 
+std::string withCoding(const std::string &fields)
+{
+    return absl::StrCat("HTTP/1.1 200 OK\r\n", fields, "\r\n4\r\nbody\r\n0\r\n\r\n");
+}
+
 } // namespace
 
 // Guards against a number that is no status and is taken for the status of an answer.
@@ -55,3 +60,16 @@
     }
     checkAnswer("HTTP/1.1 103 Early Hints\r\n\r\n" + withStatus("000"), false);
 }
+
+// Guards against a body that is read in another framing than its sender's.
+TEST_CASE("chunked is the only transfer coding of an answer")
+{
+    checkAnswer(withCoding("Transfer-Encoding: chunked\r\n"), true);
+    checkAnswer(withCoding("Transfer-Encoding: Chunked \r\n"), true);
+    for (const char *coding : {"xchunked", "gzip", "gzip, chunked", "chunked, identity", ""}) {
+        const std::string field = absl::StrCat("Transfer-Encoding: ", coding, "\r\n");
+        checkAnswer(withCoding(field), false);
+        checkAnswer(withCoding(field + "Content-Length: 4\r\n"), false);
+        checkAnswer(withCoding(field + "Transfer-Encoding: chunked\r\n"), false);
+    }
+}
