HTTP server: chunked is the only transfer coding of a request

What callers saw: nothing was reported. The cause of answers in unknown transfer codings was looked for where requests are read: the bytes after the head of such a request were taken for the next request of its connection.

Cause: as for answers, the parser knows no body when the last transfer coding is not "chunked", and ignores codings before it. A request inside the body of another one ran as one of its own.

Change: one field "chunked" or none; any other request is answered 400 and its connection closed, as for other framing that does not hold together.

Result: one answer, 400, for each of the four (runtime).

--- a/libs/runtime/src/HttpServer.cpp
+++ b/libs/runtime/src/HttpServer.cpp
@@ -4,6 +4,7 @@
 
 #include "AwaitIo.h"
 #include "SocketOptions.h"
+#include "TransferCoding.h"
 
 #include <runtime/FiberRuntime.h>
 
@@ -657,6 +658,9 @@
         if (parser.is_header_done()) {
             if (!hasHeader) {
                 hasHeader = true;
+                if (!hasKnownTransferCoding(parser.get())) {
+                    return ReadFailure{kBadRequest, "unknown transfer coding"};
+                }
                 parser.eager(true);
                 announced = static_cast<std::int64_t>(parser.content_length().value_or(0));
                 *request = plainHead(parser.get()); // Trailers are no part of it.
--- a/libs/runtime/tests/HttpTest.cpp
+++ b/libs/runtime/tests/HttpTest.cpp
@@ -376,6 +376,10 @@
              {std::string("Content-Length: 4\r\nContent-Length: 5\r\n"),
               std::string("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"),
               std::string("Transfer-Encoding: chunked\r\nContent-Length: 4\r\n"),
+              std::string("Transfer-Encoding: xchunked\r\n"),
+              std::string("Transfer-Encoding: chunked, identity\r\n"),
+              std::string("Transfer-Encoding: gzip, chunked\r\n"),
+              std::string("Transfer-Encoding: xchunked\r\nContent-Length: 4\r\n"),
               std::string("Content-Length: -1\r\n"), std::string("Content-Length: 4x\r\n"),
               std::string("Bad Header : x\r\n"), std::string("X\x01Y: z\r\n")}) {
             INFO(head);
