--- a/libs/settings/src/Settings.cpp
+++ b/libs/settings/src/Settings.cpp
@@ -173,6 +173,9 @@
         return false;
     }
     const std::string address(text.substr(0, colon));
+    if (address.find('\0') != std::string::npos) { // inet_pton() would read up to it only.
+        return false;
+    }
     const std::string_view digits = text.substr(colon + 1);
     std::uint16_t port = 0;
     const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
