Table watcher: a table whose history is gone again and again is read with pauses

What callers saw: nothing; read in the code while looking for what one bad answer of the store may cost.

Cause: after an answer that does not hold the changes the table is read again at once and watched anew. A store that gives that answer each time was asked without a pause, by each instance that watches the table.

Change: from the second time within the longest retry delay on, the table is read after a retry's delay. One such answer, as after a restore, is followed at once as before.

--- a/kernel/src/site/TableWatcher.cpp
+++ b/kernel/src/site/TableWatcher.cpp
@@ -78,6 +78,7 @@
 
 void TableWatcher::watchTable(const std::string &table)
 {
+    std::optional<TimePoint> forgottenAt;
     // Until the first table has been read there is nothing to check, so its read is retried.
     const bool isFirst = table == this->tables.front();
     while (!this->stopping) {
@@ -109,6 +110,11 @@
                              {"after", static_cast<std::int64_t>(this->known[table])},
                              {"why", why}});
             this->known.erase(table);
+            // A store that never has them would be asked without a pause.
+            if (forgottenAt && this->clock.now() - *forgottenAt < this->options.maxRetryDelay) {
+                this->runtime.sleepFor(this->retryDelay());
+            }
+            forgottenAt = this->clock.now();
         } else if (!absl::IsCancelled(page.status())) {
             this->onFailure(table, page.status(), beganAt);
             this->runtime.sleepFor(this->retryDelay());
--- a/kernel/tests/TableWatcherTest.cpp
+++ b/kernel/tests/TableWatcherTest.cpp
@@ -74,6 +74,7 @@
                 return absl::UnavailableError("end of stream");
             }
             if (wait > Duration::zero() && name == this->goneTable) {
+                this->runtime.sleepFor(kPoll);
                 return absl::OutOfRangeError("history gone");
             }
             if (wait > Duration::zero() && this->cancelled.contains(name)) {
@@ -372,3 +373,24 @@
         CHECK(watched.learns(kSecond, watched.store.change(kSecond)));
     });
 }
+
+// Guards against a store that is asked without a pause while it has no history of a table.
+TEST_CASE("a table whose history is gone again and again is read with pauses", "[watcher]")
+{
+    TableWatcherOptions options = Watched::options();
+    options.checkInterval = seconds(10);
+    options.initialRetryDelay = milliseconds(100);
+    options.maxRetryDelay = milliseconds(900);
+    withWatcher(
+        [](Watched &watched) {
+            watched.store.goneTable = kSecond;
+            const int before = watched.store.calls;
+            watched.sleep(seconds(1));
+            constexpr int kMaxCalls = 2 * 20 + 2; // Two for each half of a retry's delay.
+            CHECK(watched.store.calls - before <= kMaxCalls);
+            CHECK(watched.learns(kFirst, watched.store.change(kFirst)));
+            watched.store.goneTable.clear();
+            CHECK(watched.learns(kSecond, watched.store.change(kSecond)));
+        },
+        options);
+}
