Store client: a row or name that can't be read does not keep its table from being read

What callers saw: with a record of another writer in the table of upstreams whose name was empty or no text, no request was served once all instances had been restarted.

Cause: the whole answer was refused for one row without a name, key or version, and for one text that is no UTF-8 or has half a surrogate pair. A row that was only left out would have passed for a deleted record.

--- a/kernel/src/site/SiteControl.cpp
+++ b/kernel/src/site/SiteControl.cpp
@@ -265,6 +265,12 @@
 
 void SiteControl::onTableSnapshot(const std::string &table, const RecordPage &page)
 {
+    if (!page.unreadable.empty()) {
+        this->log.write(LogKind::State, "rows unreadable",
+                        {{"table", table},
+                         {"places", static_cast<std::int64_t>(page.unreadable.size())},
+                         {"firstFrom", page.unreadable.front().first}});
+    }
     this->applyChanges(this->replica.mergeTable(table, page), "store");
     this->domains.onTableRead(table);
 }
--- a/libs/replica/include/replica/RecordStore.h
+++ b/libs/replica/include/replica/RecordStore.h
@@ -5,6 +5,7 @@
 #include <base/Failure.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,10 +57,25 @@
     bool deleted = false;
 };
 
+/// Names from `first` on, in byte order, without `end`; all further ones when `end` is empty.
+struct NameRange
+{
+    std::string first;
+    std::optional<std::string> end;
+
+    bool contains(std::string_view name) const
+    {
+        return name >= this->first && (!this->end || name < *this->end);
+    }
+};
+
 /// Records, and how new the answer is.
 struct RecordPage
 {
     std::vector<Record> records;
+    /// Of a whole table: where it has rows that can't be read. A record of such a name may exist
+    /// although it is not among `records`.
+    std::vector<NameRange> unreadable;
     RecordVersion version = 0; ///< Everything up to this version is in the answer.
     Duration storeTime{};      ///< The store's own steady clock.
 };
@@ -86,7 +102,8 @@
 
 /// Calls block the calling fiber. Errors: kUnavailable (nothing was done), kDeadlineExceeded and
 /// kUnknown (a commit may have been done), kOutOfRange (watch: the history is gone, the store
-/// is in another epoch or an answer does not hold all changes, read again), kAborted (commit: a
+/// is in another epoch, or an answer does not hold all changes or one that can't be read; read
+/// again), kAborted (commit: a
 /// condition is of an earlier epoch, nothing was done), kResourceExhausted (too many calls),
 /// kCancelled (watch: ended by cancelWatch()).
 class RecordStore
--- a/libs/replica/include/replica/Replica.h
+++ b/libs/replica/include/replica/Replica.h
@@ -31,7 +31,7 @@
     /// earlier epoch than that in which its table was read is lost and taken as deleted.
     bool merge(const Record &record);
     /// Takes a whole table as read at `page.version`; returns the records that changed, among them
-    /// deletions of records that the page lacks.
+    /// deletions of records that the page lacks and whose rows are not unreadable.
     std::vector<Record> mergeTable(std::string_view table, const RecordPage &page);
     /// The record, also when it is deleted; null when it was never heard of.
     const Record *find(const RecordKey &key) const;
--- a/libs/replica/src/Replica.cpp
+++ b/libs/replica/src/Replica.cpp
@@ -69,9 +69,14 @@
             changed.push_back(record);
         }
     }
+    const auto mayExist = [&page](const std::string &name) {
+        return std::any_of(page.unreadable.begin(), page.unreadable.end(),
+                           [&name](const NameRange &range) { return range.contains(name); });
+    };
     for (auto &[key, entry] : this->records) {
         const bool missing = key.table == table && !entry.record.deleted
-            && entry.record.version <= page.version && !present.contains(key.name);
+            && entry.record.version <= page.version && !present.contains(key.name)
+            && !mayExist(key.name);
         if (missing) {
             replace(entry, Record{key, {}, page.version, true});
             changed.push_back(entry.record);
--- a/libs/replica/tests/ReplicaTest.cpp
+++ b/libs/replica/tests/ReplicaTest.cpp
@@ -55,6 +55,28 @@
     CHECK(replica.find({"op", "fresh"})->value == "z");
 }
 
+// Guards against records that are taken as deleted because their rows could not be read.
+TEST_CASE("a record whose row may be an unreadable one is not taken as deleted")
+{
+    Replica replica;
+    for (const char *name : {"a", "m", "n", "p", "z"}) {
+        replica.merge(record(name, 3, "x"));
+    }
+    RecordPage page;
+    page.version = 10;
+    page.records = {record("c", 4, "y"), record("p", 8, "z")};
+    page.unreadable = {{std::string("c\0", 2), "p"}, {std::string("x\0", 2), std::nullopt}};
+    CHECK(replica.mergeTable("op", page).size() == 3);
+    CHECK(replica.find({"op", "a"})->deleted);
+    CHECK_FALSE(replica.find({"op", "m"})->deleted);
+    CHECK_FALSE(replica.find({"op", "n"})->deleted);
+    CHECK_FALSE(replica.find({"op", "z"})->deleted);
+    page.unreadable.clear();
+    page.version = 11;
+    CHECK(replica.mergeTable("op", page).size() == 3);
+    CHECK(replica.find({"op", "m"})->deleted);
+}
+
 // Guards against records that keep their old content after the store has returned from a copy.
 TEST_CASE("a record of a later epoch replaces one with a higher counter")
 {
