Roll-outs: a record with a number that does not fit is unreadable

Looked for where else one record of another writer stops all instances.

Cause: the numbers of a roll-out's record were converted with an exception when they do not fit. Nothing catches it, so the process ended, and ended again at each start, as the record stays. A missing order number became the highest one, and a time near the limit of the type could overflow.

Change: order, phase and times must be whole numbers that fit, with room for sums of times; any other makes the record unreadable, which is logged and skipped as before.

--- a/kernel/src/site/RolloutRecord.cpp
+++ b/kernel/src/site/RolloutRecord.cpp
@@ -4,11 +4,31 @@
 #include <boost/json.hpp>
 
 #include <cstdint>
+#include <string_view>
 
 namespace basilnotch {
 
 namespace json = boost::json;
 
+namespace {
+
+/// Above all numbers of a record, and low enough for sums of two times in nanoseconds.
+constexpr std::int64_t kMaxNumber = std::int64_t{1} << 62;
+
+/// The whole number of that name from 0 to kMaxNumber; empty when there is none.
+std::optional<std::int64_t> numberAt(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(json::string_view(name.data(), name.size()));
+    if (!value || !value->is_number()) {
+        return std::nullopt;
+    }
+    json::error_code error;
+    const auto number = value->to_number<std::int64_t>(error);
+    return !error && number >= 0 && number <= kMaxNumber ? std::optional(number) : std::nullopt;
+}
+
+} // namespace
+
 std::string serializeRolloutState(const RolloutState &state)
 {
     const auto nanos = [](Duration value) { return static_cast<std::int64_t>(value.count()); };
@@ -37,26 +57,26 @@
         return std::nullopt;
     }
     const json::object &object = document.as_object();
-    const auto number = [&](const char *name) -> std::int64_t {
-        const json::value *value = object.if_contains(name);
-        return value && value->is_number() ? value->to_number<std::int64_t>() : -1;
-    };
     const json::value *service = object.if_contains("service");
     const json::value *version = object.if_contains("to");
-    const std::int64_t phase = number("phase");
-    if (!service || !service->is_string() || !version || !version->is_string() || phase < 0
-        || phase > static_cast<int>(RolloutPhase::Reverted)) {
+    const auto order = numberAt(object, "order");
+    const auto phase = numberAt(object, "phase");
+    const auto startedNs = numberAt(object, "startedNs");
+    const auto deadlineNs = numberAt(object, "deadlineNs");
+    if (!service || !service->is_string() || !version || !version->is_string() || !order
+        || !startedNs || !deadlineNs || !phase
+        || *phase > static_cast<int>(RolloutPhase::Reverted)) {
         return std::nullopt;
     }
     RolloutState state;
     state.service = std::string(service->as_string());
     state.toVersion = std::string(version->as_string());
-    state.order = static_cast<std::uint64_t>(number("order"));
-    state.phase = static_cast<RolloutPhase>(phase);
-    state.startedAt = Duration(number("startedNs"));
-    state.deadline = Duration(number("deadlineNs"));
-    if (const std::int64_t approvedNs = number("approvedNs"); approvedNs >= 0) {
-        state.approvedAt = Duration(approvedNs);
+    state.order = static_cast<std::uint64_t>(*order);
+    state.phase = static_cast<RolloutPhase>(*phase);
+    state.startedAt = Duration(*startedNs);
+    state.deadline = Duration(*deadlineNs);
+    if (const auto approvedNs = numberAt(object, "approvedNs")) {
+        state.approvedAt = Duration(*approvedNs);
     }
     const json::value *abandoned = object.if_contains("abandoned");
     if (abandoned && abandoned->is_array()) {
