Upstream adapters: a number that does not fit in a load report counts as absent

What callers saw: not reported.

Cause: the load report of an upstream of the own interface was converted with an exception when a number does not fit into an int; nothing catches it on the control thread. Instances on the users' platform do not poll this report.

Change: such a number counts as an absent one does, as 0.

--- a/kernel/src/plugins/UpstreamAdapters.cpp
+++ b/kernel/src/plugins/UpstreamAdapters.cpp
@@ -25,7 +25,9 @@
 int intField(const json::object &object, std::string_view key)
 {
     const json::value *value = object.if_contains(key);
-    return value && value->is_number() ? value->to_number<int>() : 0;
+    json::error_code error;
+    const int number = value && value->is_number() ? value->to_number<int>(error) : 0;
+    return error ? 0 : number;
 }
 
 bool boolField(const json::object &object, std::string_view key)
