Receipts and claims: a row with a field of another type is unreadable

What callers saw: not reported. Looked for where else a row of another writer can end a process, in the table of the own interface.

Cause: the decoders of receipts and claims checked that a row is an object and then read its fields with an exception for another type. On the control thread, which reads receipts, nothing catches it.

Change: such a row is unreadable, as one that is no object was: receipts are refused with an error, a claim is held by somebody.

Result: no exception for any of them; nobody runs under an unreadable claim (receipts, claims).

--- a/libs/claims/src/ClaimKeeper.cpp
+++ b/libs/claims/src/ClaimKeeper.cpp
@@ -36,17 +36,18 @@
 ClaimRow decode(const std::string &text)
 {
     const nlohmann::json object = nlohmann::json::parse(text, nullptr, false);
-    if (!object.is_object()) {
+    try {
+        ClaimRow row;
+        row.state = object.value("state", "claimed");
+        row.attempt = object.value("attempt", "");
+        row.digest = object.value("digest", "");
+        row.holder = object.value("holder", "");
+        row.answer = {object.value("status", 0), object.value("contentType", ""),
+                      object.value("body", "")};
+        return row;
+    } catch (const nlohmann::json::exception &) {
         return {.state = "claimed"}; // Unreadable: nobody may run it.
     }
-    ClaimRow row;
-    row.state = object.value("state", "claimed");
-    row.attempt = object.value("attempt", "");
-    row.digest = object.value("digest", "");
-    row.holder = object.value("holder", "");
-    row.answer = {object.value("status", 0), object.value("contentType", ""),
-                  object.value("body", "")};
-    return row;
 }
 
 ClaimRow claimedRow(const ClaimTicket &ticket)
--- a/libs/claims/tests/ClaimKeeperTest.cpp
+++ b/libs/claims/tests/ClaimKeeperTest.cpp
@@ -56,6 +56,22 @@
     CHECK(other.holder == "dead-1");
 }
 
+// Guards against processes that end because of one row of another writer, and against a second run.
+TEST_CASE("a claim that can't be read is taken by nobody")
+{
+    for (const char *odd : {"", "[]", "7", R"({"state":7})", R"({"state":"claimed","holder":[]})",
+                            R"({"state":"done","status":"200"})"}) {
+        CAPTURE(odd);
+        FakeTable table;
+        ClaimKeeper keeper(table);
+        REQUIRE(keeper.acquire(request()).verdict == ClaimVerdict::Acquired);
+        table.rows.begin()->second.value = odd;
+        const ClaimVerdict verdict = keeper.acquire(request()).verdict;
+        CHECK(verdict != ClaimVerdict::Acquired);
+        CHECK(verdict != ClaimVerdict::Replay);
+    }
+}
+
 TEST_CASE("a released claim can be acquired again, by one")
 {
     FakeTable table;
--- a/libs/receipts/src/Receipt.cpp
+++ b/libs/receipts/src/Receipt.cpp
@@ -23,6 +23,21 @@
     return ReceiptState::Open;
 }
 
+/// Throws nlohmann::json::exception for what is no receipt.
+Receipt decodeReceipt(const nlohmann::json &item)
+{
+    Receipt receipt;
+    item.at("id").get_to(receipt.requestId);
+    receipt.workspace = item.value("workspace", "");
+    receipt.model = item.value("model", "");
+    receipt.version = item.value("version", "");
+    receipt.state = stateOf(item.value("state", ""));
+    receipt.promptTokens = item.value("prompt", std::int64_t{0});
+    receipt.outputTokens = item.value("output", std::int64_t{0});
+    receipt.amount = item.value("amount", 0.0);
+    return receipt;
+}
+
 } // namespace
 
 std::string_view receiptStateName(ReceiptState state)
@@ -69,20 +84,12 @@
         return failure(absl::StatusCode::kDataLoss, "read receipts", "table", "not a list");
     }
     std::vector<Receipt> receipts;
-    for (const nlohmann::json &item : list) {
-        if (!item.is_object() || !item.contains("id")) {
-            return failure(absl::StatusCode::kDataLoss, "read receipts", "table", "not a receipt");
+    try {
+        for (const nlohmann::json &item : list) {
+            receipts.push_back(decodeReceipt(item));
         }
-        Receipt receipt;
-        receipt.requestId = item.value("id", "");
-        receipt.workspace = item.value("workspace", "");
-        receipt.model = item.value("model", "");
-        receipt.version = item.value("version", "");
-        receipt.state = stateOf(item.value("state", ""));
-        receipt.promptTokens = item.value("prompt", std::int64_t{0});
-        receipt.outputTokens = item.value("output", std::int64_t{0});
-        receipt.amount = item.value("amount", 0.0);
-        receipts.push_back(std::move(receipt));
+    } catch (const nlohmann::json::exception &) {
+        return failure(absl::StatusCode::kDataLoss, "read receipts", "table", "not a receipt");
     }
     return receipts;
 }
--- a/libs/receipts/tests/ReceiptsTest.cpp
+++ b/libs/receipts/tests/ReceiptsTest.cpp
@@ -61,6 +61,17 @@
     CHECK_FALSE(decodeReceipts("[1]").ok());
 }
 
+// Guards against processes that end because of one row of another writer.
+TEST_CASE("receipts with a field of another type are refused")
+{
+    for (const char *odd :
+         {R"([{"id":7}])", R"([{"id":"r","workspace":[]}])", R"([{"id":"r","prompt":"7"}])",
+          R"([{"id":"r","amount":null}])", R"([{"id":null}])", R"([{}])", R"([[]])"}) {
+        CAPTURE(odd);
+        CHECK_FALSE(decodeReceipts(odd).ok());
+    }
+}
+
 TEST_CASE("the bill does not depend on order or repetition")
 {
     rc::prop("shuffled and repeated", [] {
