Rows, roll-outs and tests of the odd records: read again

- The number of an order may be any version, up to the largest; only times need room for sums.
The bound before would have refused orders of the upper half of the store's epochs.
Found by reading, not shown by a run.

--- a/kernel/src/site/RolloutRecord.cpp
+++ b/kernel/src/site/RolloutRecord.cpp
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 
 #include <cstdint>
+#include <limits>
 #include <string_view>
 
 namespace basilnotch {
@@ -12,11 +13,12 @@
 
 namespace {
 
-/// Above all numbers of a record, and low enough for sums of two times in nanoseconds.
-constexpr std::int64_t kMaxNumber = std::int64_t{1} << 62;
+/// Sums of two times in nanoseconds still fit.
+constexpr std::int64_t kMaxNs = std::int64_t{1} << 62;
 
-/// The whole number of that name from 0 to kMaxNumber; empty when there is none.
-std::optional<std::int64_t> numberAt(const json::object &object, std::string_view name)
+/// The whole number of that name from 0 to `most`; empty when there is none.
+std::optional<std::int64_t> numberAt(const json::object &object, std::string_view name,
+                                     std::int64_t most)
 {
     const json::value *value = object.if_contains(json::string_view(name.data(), name.size()));
     if (!value || !value->is_number()) {
@@ -24,7 +26,13 @@
     }
     json::error_code error;
     const auto number = value->to_number<std::int64_t>(error);
-    return !error && number >= 0 && number <= kMaxNumber ? std::optional(number) : std::nullopt;
+    return !error && number >= 0 && number <= most ? std::optional(number) : std::nullopt;
+}
+
+std::optional<Duration> timeAt(const json::object &object, std::string_view name)
+{
+    const std::optional<std::int64_t> ns = numberAt(object, name, kMaxNs);
+    return ns ? std::optional<Duration>(*ns) : std::nullopt;
 }
 
 } // namespace
@@ -59,13 +67,12 @@
     const json::object &object = document.as_object();
     const json::value *service = object.if_contains("service");
     const json::value *version = object.if_contains("to");
-    const auto order = numberAt(object, "order");
-    const auto phase = numberAt(object, "phase");
-    const auto startedNs = numberAt(object, "startedNs");
-    const auto deadlineNs = numberAt(object, "deadlineNs");
-    if (!service || !service->is_string() || !version || !version->is_string() || !order
-        || !startedNs || !deadlineNs || !phase
-        || *phase > static_cast<int>(RolloutPhase::Reverted)) {
+    const auto order = numberAt(object, "order", std::numeric_limits<std::int64_t>::max());
+    const auto phase = numberAt(object, "phase", static_cast<int>(RolloutPhase::Reverted));
+    const auto startedAt = timeAt(object, "startedNs");
+    const auto deadline = timeAt(object, "deadlineNs");
+    if (!service || !service->is_string() || !version || !version->is_string() || !order || !phase
+        || !startedAt || !deadline) {
         return std::nullopt;
     }
     RolloutState state;
@@ -73,11 +80,9 @@
     state.toVersion = std::string(version->as_string());
     state.order = static_cast<std::uint64_t>(*order);
     state.phase = static_cast<RolloutPhase>(*phase);
-    state.startedAt = Duration(*startedNs);
-    state.deadline = Duration(*deadlineNs);
-    if (const auto approvedNs = numberAt(object, "approvedNs")) {
-        state.approvedAt = Duration(*approvedNs);
-    }
+    state.startedAt = *startedAt;
+    state.deadline = *deadline;
+    state.approvedAt = timeAt(object, "approvedNs");
     const json::value *abandoned = object.if_contains("abandoned");
     if (abandoned && abandoned->is_array()) {
         for (const json::value &item : abandoned->as_array()) {
--- a/kernel/src/site/TableWatcher.cpp
+++ b/kernel/src/site/TableWatcher.cpp
@@ -78,7 +78,7 @@
 
 void TableWatcher::watchTable(const std::string &table)
 {
-    std::optional<TimePoint> forgottenAt;
+    std::optional<TimePoint> forgottenAt; // When the table last had to be read again.
     // Until the first table has been read there is nothing to check, so its read is retried.
     const bool isFirst = table == this->tables.front();
     while (!this->stopping) {
--- a/libs/replica/include/replica/RecordStore.h
+++ b/libs/replica/include/replica/RecordStore.h
@@ -102,10 +102,9 @@
 
 /// Calls block the calling fiber. Errors: kUnavailable (nothing was done), kDeadlineExceeded and
 /// kUnknown (a commit may have been done), kOutOfRange (watch: the history is gone, the store
-/// is in another epoch, or an answer does not hold all changes or one that can't be read; read
-/// again), kAborted (commit: a
-/// condition is of an earlier epoch, nothing was done), kResourceExhausted (too many calls),
-/// kCancelled (watch: ended by cancelWatch()).
+/// is in another epoch, or an answer does not hold all changes or holds one that can't be read;
+/// read again), kAborted (commit: a condition is of an earlier epoch, nothing was done),
+/// kResourceExhausted (too many calls), kCancelled (watch: ended by cancelWatch()).
 class RecordStore
 {
 public:
