Review case 8: a prompt part that crashes servers after two events is never quarantined

Tried: servers that fall over with none, one, two or three events of the answer written. Seen: with none or one the part is refused after three crashes; with two, 23 such requests reach servers later than contact_ms after the fifth crash, and 13 of 200 sound requests are answered whole.

--- a/review/support-2/standin.hh
+++ b/review/support-2/standin.hh
@@ -279,7 +279,20 @@
     int fd;
 };
 
-/// Accepts on a port of 127.0.0.1; each connection has a thread.
+/// Ids of the processes that run; ended when a script is.
+inline std::atomic<int> startedIds[64];
+
+inline void endStarted()
+{
+    for (std::atomic<int> &id : startedIds) {
+        if (id > 0) {
+            ::kill(id, SIGKILL);
+        }
+    }
+}
+
+/// Accepts on a port of 127.0.0.1; each connection has a thread. It can fall over and come back at
+/// its address: all its connections and its listener close, as when its process is killed.
 class Server
 {
 public:
@@ -294,42 +307,82 @@
         if (receiveBuffer > 0) {
             ::setsockopt(this->fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
         }
+        this->bindTo(0);
+        std::thread([this] { this->accept(); }).detach();
+    }
+    /// Falls over; `wire` may be the connection of the caller's thread.
+    void crash()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->isDown = true;
+        ::shutdown(this->fd, SHUT_RDWR);
+        ::close(this->fd);
+        this->fd = -1;
+        for (const int open : this->open) {
+            ::shutdown(open, SHUT_RDWR);
+        }
+    }
+    void restart()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int one = 1;
+        ::setsockopt(this->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+        this->bindTo(this->number);
+        this->isDown = false;
+    }
+    bool down() const { return this->isDown; }
+    int port() const { return this->number; }
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->number); }
+
+private:
+    void bindTo(int port)
+    {
         sockaddr_in address{};
         address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof(address);
         if (::bind(this->fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0
             || ::listen(this->fd, 1024) != 0
             || ::getsockname(this->fd, reinterpret_cast<sockaddr *>(&address), &size) != 0) {
             std::perror("listen");
-            std::exit(2);
+            endStarted();
+            ::_exit(2);
         }
         this->number = ntohs(address.sin_port);
-        std::thread([this] { this->accept(); }).detach();
     }
-    int port() const { return this->number; }
-    std::string address() const { return "127.0.0.1:" + std::to_string(this->number); }
-
-private:
     void accept()
     {
         while (true) {
-            const int got = ::accept4(this->fd, nullptr, nullptr, SOCK_CLOEXEC);
+            const int from = this->fd;
+            const int got = from < 0 ? -1 : ::accept4(from, nullptr, nullptr, SOCK_CLOEXEC);
             if (got < 0) {
                 sleepMs(5);
                 continue;
             }
             const int one = 1;
             ::setsockopt(got, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+            {
+                const std::lock_guard lock(this->mutex);
+                this->open.insert(got);
+            }
             std::thread([this, got] {
-                Wire wire(got);
-                this->handler(wire);
+                {
+                    Wire wire(got);
+                    this->handler(wire);
+                    const std::lock_guard lock(this->mutex);
+                    this->open.erase(got);
+                }
             }).detach();
         }
     }
 
     Handler handler;
-    int fd;
+    std::mutex mutex;
+    std::set<int> open; ///< Connections.
+    std::atomic<int> fd;
+    std::atomic<bool> isDown{false};
     int number = 0;
 };
 
@@ -598,18 +651,6 @@
     std::string folder;
 };
 
-/// Ids of the processes that run; ended when a script is.
-inline std::atomic<int> startedIds[64];
-
-inline void endStarted()
-{
-    for (std::atomic<int> &id : startedIds) {
-        if (id > 0) {
-            ::kill(id, SIGKILL);
-        }
-    }
-}
-
 /// Ends the script and what it has started after `seconds`, or when it is told to end.
 inline void limitTime(int seconds)
 {
