--- a/review/support-2/standin.hh
+++ b/review/support-2/standin.hh
@@ -475,6 +475,9 @@
         this->rows[{table, key}] = {"", ++this->version, true};
         this->changed.notify_all();
     }
+    /// Unreachable from now on, until it is back.
+    void goDown() { this->server.crash(); }
+    void comeBack() { this->server.restart(); }
     std::string value(const std::string &table, const std::string &key)
     {
         const std::lock_guard lock(this->mutex);
