--- a/review/support-2/crowd.cc
+++ b/review/support-2/crowd.cc
@@ -1,4 +1,4 @@
-// Case 6: many chunked bodies at once, in very small chunks, that stop just short of their end and
+// Case 7: many chunked bodies at once, in very small chunks, that stop just short of their end and
 // stay open, behind headers that keep to max_header_bytes. Usage: crowd FOLDER
 #include "standin.hh"
 
--- a/review/support-2/lostanswers.cc
+++ b/review/support-2/lostanswers.cc
@@ -1,4 +1,4 @@
-// Case 9: some answers to a read are lost, no server crashes. Usage: lostanswers FOLDER
+// Case 10: some answers to a read are lost, no server crashes. Usage: lostanswers FOLDER
 #include "standin.hh"
 
 #include <algorithm>
--- a/review/support-2/slowread.cc
+++ b/review/support-2/slowread.cc
@@ -1,4 +1,4 @@
-// Case 7: clients that read their answers slowly, after a SIGHUP: streams of 64 small events through
+// Case 6: clients that read their answers slowly, after a SIGHUP: streams of 64 small events through
 // small windows, and long answers to orders. Usage: slowread FOLDER
 #include "standin.hh"
 
