--- a/review/support-2/lostanswers.cc
+++ b/review/support-2/lostanswers.cc
@@ -17,6 +17,7 @@
 constexpr double kSettleS = 6;      // After it, until the judged time: 2 x contact_ms.
 constexpr double kJudgedS = 20;
 constexpr int kPauseMs = 100;       // Between the requests of a client.
+constexpr int kReaders = 2;         // Clients of the added route at each instance.
 
 std::string route(const std::string &name, const std::string &prefix)
 {
@@ -106,9 +107,9 @@
     std::atomic<int> phase{0}; // 1: calm, 2: judged.
     std::atomic<bool> stop{false};
     std::vector<std::thread> clients;
-    for (int number = 0; number < 2 * kInstances; ++number) {
+    for (int number = 0; number < (1 + kReaders) * kInstances; ++number) {
         clients.emplace_back([&, number] {
-            const int isAdded = number / kInstances;
+            const int isAdded = number < kInstances ? 0 : 1;
             const Instance &instance = *instances[number % kInstances];
             std::unique_ptr<Wire> wire;
             for (int count = 0; !stop; ++count) {
