--- a/kernel/src/relay/SiteServer.cpp
+++ b/kernel/src/relay/SiteServer.cpp
@@ -245,6 +245,8 @@
             sum.yieldedConnections += stats.yieldedConnections;
             sum.yieldedBodies += stats.yieldedBodies;
             sum.refusedBodies += stats.refusedBodies;
+            sum.unreadAnswers += stats.unreadAnswers;
+            sum.unreachableCallers += stats.unreachableCallers;
         }
         Metrics &metrics = this->context.metrics;
         const std::int64_t forRequests = this->memory.held(MemoryPurpose::Requests);
@@ -254,10 +256,12 @@
         metrics.counter("connections_yielded_total").set(sum.yieldedConnections);
         metrics.counter("bodies_yielded_total").set(sum.yieldedBodies);
         metrics.counter("bodies_refused_total").set(sum.refusedBodies);
+        metrics.counter("answers_unread_total").set(sum.unreadAnswers);
+        metrics.counter("callers_unreachable_total").set(sum.unreachableCallers);
         metrics.counter("request_bytes_held").set(forRequests);
         metrics.counter("answer_bytes_held").set(forAnswers);
-        const std::int64_t turnedAway =
-            sum.refusedConnections + sum.yieldedConnections + sum.yieldedBodies + sum.refusedBodies;
+        const std::int64_t turnedAway = sum.refusedConnections + sum.yieldedConnections
+            + sum.yieldedBodies + sum.refusedBodies + sum.unreadAnswers + sum.unreachableCallers;
         const TimePoint now = this->context.clock.now();
         if (turnedAway == this->loggedTurnedAway || now - this->loggedAt < kTurnedAwayLogInterval) {
             return;
@@ -270,6 +274,8 @@
                                  {"connectionsYielded", sum.yieldedConnections},
                                  {"bodiesYielded", sum.yieldedBodies},
                                  {"bodiesRefused", sum.refusedBodies},
+                                 {"answersUnread", sum.unreadAnswers},
+                                 {"callersUnreachable", sum.unreachableCallers},
                                  {"requestBytes", forRequests},
                                  {"answerBytes", forAnswers}});
     }
--- a/kernel/src/traffic/TrafficThread.cpp
+++ b/kernel/src/traffic/TrafficThread.cpp
@@ -145,6 +145,10 @@
             .set(impl.server.stats().yieldedBodies);
         impl.context.metrics.counter("bodies_refused{thread=\"" + impl.name + "\"}")
             .set(impl.server.stats().refusedBodies);
+        impl.context.metrics.counter("answers_unread{thread=\"" + impl.name + "\"}")
+            .set(impl.server.stats().unreadAnswers);
+        impl.context.metrics.counter("callers_unreachable{thread=\"" + impl.name + "\"}")
+            .set(impl.server.stats().unreachableCallers);
     });
     impl.every(kUsageInterval, [&impl] { impl.desk.tellUsage(); });
     impl.thread = std::thread([&impl] { impl.runtime.run(); });
--- a/libs/runtime/include/runtime/HttpServer.h
+++ b/libs/runtime/include/runtime/HttpServer.h
@@ -72,6 +72,8 @@
     Endpoint listen;
     int maxConnections = 4096;
     HttpServerBounds bounds;
+    /// A caller that reads none of its answer for so long loses it; one that reads on, however
+    /// slowly, does not.
     Duration writeTimeout = seconds(20);
     /// Not owned; outlives the server and its last connection. Without one, memory is not counted.
     MemoryAccount *memory = nullptr;
@@ -86,6 +88,8 @@
     std::int64_t yieldedConnections = 0; ///< Closed without progress, for a new connection.
     std::int64_t yieldedBodies = 0;      ///< Ended without progress, for the memory they held.
     std::int64_t refusedBodies = 0;      ///< Refused, as there was no memory to read them.
+    std::int64_t unreadAnswers = 0;      ///< Cut, as their callers read nothing.
+    std::int64_t unreachableCallers = 0; ///< Connections whose callers acknowledged nothing.
 };
 
 class HttpServer
--- a/libs/runtime/src/HttpClient.cpp
+++ b/libs/runtime/src/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include <runtime/HttpClient.h>
 
 #include "AwaitIo.h"
+#include "DeliveryWatch.h"
 #include "SocketOptions.h"
 #include "TransferCoding.h"
 
@@ -69,14 +70,32 @@
     return status;
 }
 
-struct Connection
+struct Connection final : WatchedConnection
 {
     explicit Connection(asio::io_context &context)
         : stream(context)
         , buffer(kMaxUnparsedBytes)
     { }
+
+    int socketHandle() override { return this->stream.socket().native_handle(); }
+    std::int64_t writtenBytes() const override { return 0; } // The time limit is that of the call.
+    bool onDelivery(const DeliveryProgress::Result &result, TimePoint) override
+    {
+        if (result.isPeerGone) {
+            this->isPeerGone = true;
+            this->stream.close();
+        }
+        return !result.isPeerGone && !result.isComplete;
+    }
+    /// The error of an operation; closing the connection of a peer that is gone is no cancellation.
+    error_code cause(const error_code &error) const
+    {
+        return error && this->isPeerGone ? error_code(asio::error::timed_out) : error;
+    }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    bool isPeerGone = false; ///< It has not acknowledged what was sent.
     bool reused = false;     ///< It has carried an earlier request.
     TimePoint usableUntil{}; ///< While idle: the peer may close it after this.
 };
@@ -141,6 +160,7 @@
     Impl(FiberRuntime &runtime, HttpClientOptions options)
         : runtime(runtime)
         , options(options)
+        , deliveryWatch(runtime)
     { }
 
     std::unique_ptr<Connection> takeIdle(const std::string &peer);
@@ -151,6 +171,7 @@
 
     FiberRuntime &runtime;
     HttpClientOptions options;
+    DeliveryWatch deliveryWatch;
     std::map<std::string, std::vector<std::unique_ptr<Connection>>, std::less<>> idle;
 };
 
@@ -242,7 +263,8 @@
                                     std::move(handler));
         });
         if (result.error) {
-            return callFailure("read header", this->peer, result.error, SendProgress::MaybeSent);
+            return callFailure("read header", this->peer, this->connection->cause(result.error),
+                               SendProgress::MaybeSent);
         }
         if (this->status() < kFirstStatus || this->status() > kLastStatus) {
             return failure(absl::StatusCode::kDataLoss, "read header", this->peer.text(),
@@ -370,7 +392,8 @@
                                   std::move(handler));
         });
         if (result.error && result.error != http::error::need_buffer) {
-            return callFailure("read body", this->peer, result.error, SendProgress::MaybeSent);
+            return callFailure("read body", this->peer, this->connection->cause(result.error),
+                               SendProgress::MaybeSent);
         }
         const std::size_t got = part.size() - body.size;
         this->framingBytes += result.bytes > got ? result.bytes - got : 0;
@@ -533,10 +556,12 @@
         toWire(peer, request, options.body.value_or(request.body));
     const TimePoint until = SystemClock().now() + options.timeout;
     stream.expires_after(inClock(options.timeout));
+    this->impl->deliveryWatch.add(*connection);
     const IoResult written =
         awaitIo([&](auto handler) { http::async_write(stream, message, std::move(handler)); });
     if (written.error) {
-        return callFailure("write request", peer, written.error, SendProgress::MaybeSent);
+        return callFailure("write request", peer, connection->cause(written.error),
+                           SendProgress::MaybeSent);
     }
     auto answer = std::make_unique<Stream>(
         this->impl->runtime, std::move(connection), peer,
--- a/libs/runtime/src/HttpServer.cpp
+++ b/libs/runtime/src/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include <runtime/HttpServer.h>
 
 #include "AwaitIo.h"
+#include "DeliveryWatch.h"
 #include "SocketOptions.h"
 #include "TransferCoding.h"
 
@@ -71,11 +72,15 @@
 constexpr Duration kStalled = milliseconds(500);
 /// A caller that has not read for so long yields its connection.
 constexpr Duration kUnread = seconds(1);
+/// A caller that pauses for longer than this multiple of its longest pause so far has stopped
+/// reading.
+constexpr int kUsualPauseFactor = 2;
+/// Memory for answers is short at most for so long before steady readers are cut, too.
+constexpr Duration kMaxSlowReading = seconds(1);
 constexpr Duration kMemoryPollInterval = milliseconds(10);
 /// A body waits for memory at most; its sender is held back meanwhile.
 constexpr Duration kMaxMemoryWait = seconds(2);
 constexpr Duration kMaxAcceptWait = milliseconds(250);
-constexpr std::size_t kWritePartBytes = 64 * 1024;
 // After a refusal, what still arrives is dropped, so that the sender can read the refusal.
 constexpr Duration kLingerTime = seconds(1);
 constexpr std::size_t kLingerBytes = 4 * 1024 * 1024;
@@ -87,14 +92,42 @@
     Busy,    ///< The handler has it.
 };
 
-struct Connection
+struct Connection final : WatchedConnection
 {
-    Connection(tcp::socket socket, MemoryAccount *account)
+    Connection(tcp::socket socket, MemoryAccount *account, Duration writeTimeout,
+               HttpServerStats &stats)
         : stream(std::move(socket))
         , requestMemory(account, MemoryPurpose::Requests)
         , answerMemory(account, MemoryPurpose::Answers)
+        , writeTimeout(writeTimeout)
+        , stats(stats)
     { }
 
+    int socketHandle() override { return this->stream.socket().native_handle(); }
+    std::int64_t writtenBytes() const override { return this->written; }
+    bool onDelivery(const DeliveryProgress::Result &result, TimePoint now) override;
+
+    void beginWrite()
+    {
+        this->isWriting = true;
+        this->isPaused = false;
+        this->movedAt = SystemClock().now();
+    }
+    /// The caller has read, or the kernel has taken, some of the answer.
+    void onMoved(TimePoint now)
+    {
+        if (std::exchange(this->isPaused, false)) {
+            this->longestPause = std::max(this->longestPause, now - this->movedAt);
+        }
+        this->movedAt = now;
+    }
+    /// Whether the caller has not read for longer than its reading explains: a slow reader pauses
+    /// until much of its receive buffer is free.
+    bool hasStoppedReading(TimePoint now) const
+    {
+        return now - this->movedAt >= kUsualPauseFactor * this->longestPause;
+    }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     MemoryReservation requestMemory; ///< For the request, until it has been handled.
@@ -103,11 +136,44 @@
     std::list<Connection *>::iterator place; ///< In the server's list of that state, unless Busy.
     TimePoint since{};                       ///< Beginning of that state.
     TimePoint movedAt{};                     ///< When bytes were last read or written.
-    bool isWriting = false;                  ///< An answer of which the caller has to read.
+    Duration longestPause{};                 ///< Between two moves while the answer was written.
+    bool isPaused = false;                   ///< Nothing moved at the latest check.
+    std::int64_t written = 0;
+    bool isWriting = false;   ///< An answer of which the caller has to read.
+    bool hasTimedOut = false; ///< The caller has read nothing for `writeTimeout`.
     bool waitsForMemory = false;
     bool mustYield = false;
+    const Duration writeTimeout;
+    HttpServerStats &stats;
 };
 
+bool Connection::onDelivery(const DeliveryProgress::Result &result, TimePoint now)
+{
+    if (result.isPeerGone) {
+        ++this->stats.unreachableCallers;
+        error_code ignored;
+        tcp::socket &socket = this->stream.socket();
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.shutdown(tcp::socket::shutdown_both, ignored); // Ends reads, writes and waits.
+        return false;
+    }
+    if (!this->isWriting) {
+        return !result.isComplete;
+    }
+    if (result.hasMoved) {
+        this->onMoved(now);
+    } else {
+        this->isPaused = true;
+    }
+    if (now - this->movedAt < this->writeTimeout) {
+        return true;
+    }
+    ++this->stats.unreadAnswers;
+    this->hasTimedOut = true;
+    this->stream.cancel();
+    return false;
+}
+
 /// A caller with unread bytes keeps its socket readable, so its close is polled for at this
 /// interval.
 constexpr std::chrono::milliseconds kClosePollInterval{100};
@@ -142,13 +208,13 @@
 public:
     /// `closing`: read when the answer begins; true when callers shall leave.
     Exchange(Connection &connection, HttpRequest &&plain, bool keepAlive, const bool &closing,
-             Duration writeTimeout)
+             DeliveryWatch &deliveryWatch)
         : connection(connection)
         , stream(connection.stream)
         , plain(std::move(plain))
         , keepAlive(keepAlive)
         , closing(closing)
-        , writeTimeout(writeTimeout)
+        , deliveryWatch(deliveryWatch)
     { }
 
     ~Exchange() override
@@ -180,23 +246,9 @@
         std::ostringstream text;
         text << message.base();
         const std::string header = std::move(text).str();
-        // In parts, so that a caller that reads is known from one that does not.
-        std::string_view rest = response.body;
-        std::string_view part = rest.substr(0, kWritePartBytes);
-        absl::Status sent = this->send("write answer", [&](auto handler) {
-            asio::async_write(this->stream,
-                              std::array<asio::const_buffer, 2>{
-                                  asio::buffer(header), asio::buffer(part.data(), part.size())},
-                              std::move(handler));
-        });
-        while (sent.ok() && part.size() < rest.size()) {
-            rest.remove_prefix(part.size());
-            part = rest.substr(0, kWritePartBytes);
-            sent = this->send("write answer", [&](auto handler) {
-                asio::async_write(this->stream, asio::buffer(part.data(), part.size()),
-                                  std::move(handler));
-            });
-        }
+        const absl::Status sent = this->send(
+            "write answer",
+            std::array<asio::const_buffer, 2>{asio::buffer(header), asio::buffer(response.body)});
         this->complete = sent.ok();
         return sent;
     }
@@ -216,11 +268,8 @@
     {
         const std::string header = std::exchange(this->pendingHeader, {});
         const auto chunk = http::make_chunk(asio::buffer(part.data(), part.size()));
-        return this->send("write part", [&](auto handler) {
-            asio::async_write(this->stream,
-                              beast::buffers_cat(asio::const_buffer(asio::buffer(header)), chunk),
-                              std::move(handler));
-        });
+        return this->send("write part",
+                          beast::buffers_cat(asio::const_buffer(asio::buffer(header)), chunk));
     }
 
     absl::Status endStream(std::string_view part) override
@@ -231,9 +280,7 @@
                 beast::buffers_to_string(http::make_chunk(asio::buffer(part.data(), part.size())));
         }
         bytes += beast::buffers_to_string(http::make_chunk_last());
-        const absl::Status sent = this->send("write end", [&](auto handler) {
-            asio::async_write(this->stream, asio::buffer(bytes), std::move(handler));
-        });
+        const absl::Status sent = this->send("write end", asio::const_buffer(asio::buffer(bytes)));
         this->complete = sent.ok();
         return sent;
     }
@@ -292,16 +339,25 @@
         message.keep_alive(this->keepAlive);
     }
 
-    template <typename Initiate>
-    absl::Status send(std::string_view step, Initiate initiate)
+    /// Fails once the caller has read nothing for the write timeout.
+    template <typename Buffers>
+    absl::Status send(std::string_view step, const Buffers &buffers)
     {
-        this->stream.expires_after(
-            std::chrono::duration_cast<std::chrono::steady_clock::duration>(this->writeTimeout));
-        this->connection.isWriting = true;
-        this->connection.movedAt = SystemClock().now();
-        const IoResult result = awaitIo(std::move(initiate));
+        this->connection.beginWrite();
+        this->deliveryWatch.add(this->connection);
+        beast::buffers_suffix<Buffers> rest(buffers);
+        IoResult result;
+        while (!result.error && asio::buffer_size(rest) > 0) {
+            result = awaitIo(
+                [&](auto handler) { this->stream.async_write_some(rest, std::move(handler)); });
+            rest.consume(result.bytes);
+            this->connection.written += static_cast<std::int64_t>(result.bytes);
+            this->connection.onMoved(SystemClock().now());
+        }
         this->connection.isWriting = false;
-        this->stream.expires_never();
+        if (result.error && this->connection.hasTimedOut) {
+            result.error = beast::error::timeout;
+        }
         return result.error ? ioFailure(step, result.error) : absl::OkStatus();
     }
 
@@ -314,7 +370,7 @@
     bool started = false;
     std::string pendingHeader; ///< Of a stream whose first part has not been sent.
     bool complete = false;     ///< The whole answer has been written.
-    const Duration writeTimeout;
+    DeliveryWatch &deliveryWatch;
 };
 
 constexpr int kBadRequest = 400;
@@ -355,6 +411,7 @@
         , options(std::move(options))
         , handler(handler)
         , acceptor(runtime.context())
+        , deliveryWatch(runtime)
     {
         if (this->options.memory) {
             this->options.memory->addHolder(*this);
@@ -400,12 +457,15 @@
     HttpServerOptions options;
     HttpHandler &handler;
     tcp::acceptor acceptor;
+    DeliveryWatch deliveryWatch;
     // Connections by state, those that entered it first at the front.
     std::list<Connection *> idle;
     std::list<Connection *> reading;
     std::list<Connection *> busy;
     std::array<char, kBodyPartBytes> bodyPart{}; ///< Only while a part is parsed.
     std::atomic<bool> closesStalled{false};      ///< closeStalled() is about to run.
+    TimePoint answersShortAt{};                  ///< When memory for answers was last asked for.
+    TimePoint answersShortSince{}; ///< When it was first asked for in the present shortage.
     HttpServerStats stats;
     bool closingAfterAnswers = false;
     bool stopping = false; ///< Invariant: implies closingAfterAnswers.
@@ -417,6 +477,7 @@
     connection.state = state;
     connection.since = SystemClock().now();
     connection.movedAt = connection.since;
+    connection.longestPause = Duration::zero();
     connection.place = list.insert(list.end(), &connection);
 }
 
@@ -475,16 +536,21 @@
                 }
             }
         }
-        const auto unread =
-            std::find_if(this->busy.begin(), this->busy.end(), [now](const Connection *connection) {
-                return connection->isWriting && !connection->mustYield
-                    && now - connection->movedAt >= kUnread;
-            });
-        if (unread != this->busy.end()) {
-            this->yield(**unread);
+        const bool isLastResort = now >= until;
+        Connection *unread = nullptr;
+        for (Connection *connection : this->busy) {
+            if (connection->isWriting && !connection->mustYield
+                && now - connection->movedAt >= kUnread
+                && (isLastResort || connection->hasStoppedReading(now))
+                && (!unread || connection->movedAt < unread->movedAt)) {
+                unread = connection;
+            }
+        }
+        if (unread) {
+            this->yield(*unread);
             return true;
         }
-        if (now >= until || this->stats.openConnections < this->options.maxConnections) {
+        if (isLastResort || this->stats.openConnections < this->options.maxConnections) {
             break;
         }
         this->runtime.sleepFor(kMemoryPollInterval);
@@ -509,6 +575,12 @@
 {
     const TimePoint now = SystemClock().now();
     const bool forRequests = purpose == MemoryPurpose::Requests;
+    if (!forRequests) {
+        const bool isNewShortage = now - this->answersShortAt >= kStalled;
+        this->answersShortSince = isNewShortage ? now : this->answersShortSince;
+        this->answersShortAt = now;
+    }
+    const bool isLastResort = now - this->answersShortSince >= kMaxSlowReading;
     Connection *slowest = nullptr;
     for (Connection *connection : forRequests ? this->reading : this->busy) {
         const MemoryReservation &memory =
@@ -518,6 +590,9 @@
             || now - connection->movedAt < kStalled) {
             continue;
         }
+        if (!forRequests && !isLastResort && !connection->hasStoppedReading(now)) {
+            continue;
+        }
         if (!slowest || connection->movedAt < slowest->movedAt) {
             slowest = connection;
         }
@@ -531,8 +606,10 @@
 
 void HttpServer::Impl::serve(tcp::socket socket)
 {
-    Connection connection(std::move(socket), this->options.memory);
+    Connection connection(std::move(socket), this->options.memory, this->options.writeTimeout,
+                          this->stats);
     while (this->serveOne(connection)) { }
+    limitUndelivered(connection.stream.socket(), this->options.writeTimeout);
     error_code ignored;
     connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
@@ -540,7 +617,7 @@
 void HttpServer::Impl::refuse(Connection &connection, const ReadFailure &failure)
 {
     Exchange exchange(connection, HttpRequest(), false, this->closingAfterAnswers,
-                      this->options.writeTimeout);
+                      this->deliveryWatch);
     const absl::Status sent =
         exchange.respond(this->handler.malformed(failure.status, failure.text));
     connection.buffer.clear();
@@ -709,7 +786,7 @@
     this->leave(connection);
     this->enter(connection, ConnectionState::Busy);
     Exchange exchange(connection, std::move(request), keepAlive, this->closingAfterAnswers,
-                      this->options.writeTimeout);
+                      this->deliveryWatch);
     if (exchange.callerGone()) {
         this->leave(connection);
         this->handler.abandoned(exchange.request());
--- a/libs/runtime/src/PeerLink.cpp
+++ b/libs/runtime/src/PeerLink.cpp
@@ -72,6 +72,7 @@
     {
         this->stream.expires_never();
         tuneSocket(this->stream.socket());
+        limitUndelivered(this->stream.socket(), kPeerUndeliveredTimeout);
     }
 
     /// The next frame; empty when the connection has ended.
--- a/libs/runtime/src/PeerServer.cpp
+++ b/libs/runtime/src/PeerServer.cpp
@@ -157,6 +157,7 @@
             continue;
         }
         tuneSocket(socket);
+        limitUndelivered(socket, kPeerUndeliveredTimeout);
         auto connection = std::make_shared<Connection>(std::move(socket), this->account);
         connection->place = this->connections.insert(this->connections.end(), connection);
         this->runtime.spawn([self = this->shared_from_this(), connection] {
