--- a/kernel/src/relay/AdmittedRequest.cpp
+++ b/kernel/src/relay/AdmittedRequest.cpp
@@ -99,7 +99,7 @@
     for (std::size_t index = 0; index + 1 < prompt.size(); ++index) {
         request.sharedPromptParts.push_back(prompt[index].id);
     }
-    if (context.promptQuarantine.findQuarantined(request.sharedPromptParts)) {
+    if (context.promptGuard.findQuarantined(request.sharedPromptParts)) {
         return AdmissionError{status::kUnavailable,
                               "a part of this prompt crashes the upstreams that answer it",
                               kRetryAfterQuarantine};
--- a/kernel/src/relay/RelayContext.h
+++ b/kernel/src/relay/RelayContext.h
@@ -5,7 +5,7 @@
 
 #include <decision/AnswerCascade.h>
 #include <decision/PrefillTimeEstimator.h>
-#include <decision/PromptQuarantine.h>
+#include <decision/PromptGuard.h>
 #include <decision/RequestQuarantine.h>
 #include <decision/RolloutInitialQuota.h>
 #include <kernel/Site.h>
@@ -41,7 +41,7 @@
     HttpClient &client;
     UpstreamScheduler &scheduler;
     RequestQuarantine &quarantine;
-    PromptQuarantine &promptQuarantine;
+    PromptGuard &promptGuard;
     SlowAnswerDetector &slowAnswerDetector;
     AnswerCascade &cascade;
     PrefillTimeEstimator &prefillTimes;
--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -45,9 +45,9 @@
 constexpr double kFirstEventShareOfGoal = 0.5;
 /// A prefill that takes less than this multiple of its expected time is slow, but under way.
 constexpr int kSlowPrefillFactor = 4;
-/// Events after which an upstream has survived a prompt: one that crashes as it begins to answer
-/// may still have sent the first.
-constexpr std::int64_t kEventsOfSoundPrompt = 2;
+/// Events of an answer that has got beyond its beginning: an upstream that crashes as it begins to
+/// answer may still have sent the first.
+constexpr std::int64_t kEventsBeyondBeginning = 2;
 /// A process that ends closes its connections before its listener.
 constexpr Duration kCrashCheckDelay = milliseconds(10);
 constexpr char kQuarantined[] = "it crashes the upstreams that run it";
@@ -275,8 +275,8 @@
 
 void RequestForwarder::withdrawIfQuarantined()
 {
-    const bool hasSurvived = this->currentAttempt && this->currentAttempt->hasSurvivedPrompt;
-    if (!hasSurvived && this->isQuarantined()) {
+    const bool isUnderWay = this->currentAttempt && this->currentAttempt->isBeyondBeginning;
+    if (!isUnderWay && this->isQuarantined()) {
         this->isWithdrawn = true;
         this->interrupt();
     }
@@ -331,7 +331,7 @@
 RequestForwarder::Attempt RequestForwarder::makeAttempt(UpstreamLease &lease)
 {
     Attempt attempt{lease, this->context.clock.now(), this->chooseModel()};
-    attempt.promptChains = this->context.promptQuarantine.chains(this->request.sharedPromptParts);
+    attempt.promptChains = this->context.promptGuard.chains(this->request.sharedPromptParts);
     attempt.eventsBefore = this->stream.events();
     const std::shared_ptr<const SiteView> view = this->context.control.view();
     const auto rollout = view->rollouts.find(this->request.service);
@@ -400,7 +400,7 @@
     }
     this->onSent();
     if (!answer.ok()) {
-        return this->onAttemptFailed(attempt, answer.status());
+        return this->onAttemptFailed(attempt, answer.status(), PromptGuard::CrashedAt::Waiting);
     }
     this->currentResponse = answer->get();
     const AttemptOutcome outcome = this->handleResponse(attempt, **answer);
@@ -495,7 +495,7 @@
     query.mayRunAgain = route.mayRunAgain();
     query.hasBegun = this->stream.hasStarted();
     query.isSuspect = this->isQuarantined()
-        || std::any_of(first.promptChains.begin(), first.promptChains.end(),
+        || std::any_of(first.promptChains.beginning.begin(), first.promptChains.beginning.end(),
                        [](int evidence) { return evidence > 0; });
     query.hasAttemptLeft = this->sendCount + kBothSends <= route.maxAttempts;
     query.timeLeft = this->timeLeft();
@@ -564,7 +564,8 @@
 }
 
 RequestForwarder::AttemptOutcome RequestForwarder::onAttemptFailed(Attempt &attempt,
-                                                                   const absl::Status &status)
+                                                                   const absl::Status &status,
+                                                                   PromptGuard::CrashedAt crashedAt)
 {
     if (this->exchange.callerGone()) {
         this->reportUnawaitedAnswer(attempt);
@@ -580,7 +581,7 @@
     if (!timedOut) {
         this->reportCrash(attempt.lease.upstream());
         if (!this->request.sharedPromptParts.empty()) {
-            this->checkCrash(attempt, false);
+            this->checkCrash(attempt, crashedAt);
         }
     }
     this->reportAnswer(attempt, timedOut ? AnswerOutcome::Bad : AnswerOutcome::ConnectionLost,
@@ -606,8 +607,7 @@
 bool RequestForwarder::isCutOff(const Attempt &attempt)
 {
     const std::int64_t events = this->stream.events() - attempt.eventsBefore;
-    const bool isResumed = attempt.eventsBefore > 0 || this->request.caller.lastEventId;
-    if (events == 0 && !isResumed) {
+    if (events == 0 && this->isFromBeginning(attempt)) {
         return true;
     }
     return this->hasEndedWith(attempt.lease.upstream());
@@ -619,29 +619,35 @@
     return this->hasCrashed(upstream);
 }
 
-void RequestForwarder::checkCrash(const Attempt &attempt, bool hasBegun)
+void RequestForwarder::checkCrash(const Attempt &attempt, PromptGuard::CrashedAt crashedAt)
 {
     const UpstreamRecord &upstream = attempt.lease.upstream();
     // A broken connection alone is no crash: the answer may be lost on the way.
     this->context.runtime.sleepFor(kCrashCheckDelay);
     const bool isCrash = this->hasCrashed(upstream);
-    int begunCrashes = isCrash && hasBegun ? 1 : 0;
+    int droppedCrashes = 0;
     for (const UpstreamRef &dropped : std::exchange(this->droppedUpstreams, {})) {
-        begunCrashes += isCrash && this->hasCrashed(*dropped) ? 1 : 0;
+        droppedCrashes += isCrash && this->hasCrashed(*dropped) ? 1 : 0;
     }
     if (!isCrash || this->exchange.callerGone()) {
         return;
     }
     this->reportCrash(upstream);
-    if (attempt.hasSurvivedPrompt) {
-        return; // Clears the prompt's parts, but not the request as a whole.
-    }
     const std::vector<std::string> &parts = this->request.sharedPromptParts;
-    PromptQuarantine &quarantine = this->context.promptQuarantine;
+    PromptGuard &guard = this->context.promptGuard;
+    const std::vector<PromptPart> &prompt = this->request.caller.prompt;
+    const std::string identity =
+        absl::StrCat(this->request.fingerprint, prompt.empty() ? "" : prompt.back().id);
+    if (droppedCrashes > 0 && crashedAt == PromptGuard::CrashedAt::Waiting) {
+        --droppedCrashes; // Crashes that are found together: the one that tells most stands first.
+        crashedAt = PromptGuard::CrashedAt::Beginning;
+    }
     std::vector<PromptPartReport> reports =
-        quarantine.onCrash(parts, attempt.promptChains, begunCrashes > 0);
-    for (int number = 1; number < begunCrashes; ++number) {
-        reports = quarantine.onCrash(parts, quarantine.chains(parts), true);
+        guard.onCrash(parts, attempt.promptChains, crashedAt, identity);
+    for (; droppedCrashes > 0; --droppedCrashes) {
+        std::vector<PromptPartReport> more =
+            guard.onCrash(parts, guard.chains(parts), PromptGuard::CrashedAt::Beginning, identity);
+        std::move(more.begin(), more.end(), std::back_inserter(reports));
     }
     for (const PromptPartReport &report : reports) {
         if (!report.isQuarantined) {
@@ -651,20 +657,35 @@
                                 {{"part", report.part},
                                  {"request", this->request.caller.requestId},
                                  {"upstream", upstream.id},
-                                 {"evidence", std::int64_t{report.evidence}}});
+                                 {"evidence", std::int64_t{report.evidence}},
+                                 {"basis", promptEvidenceName(report.basis)}});
     }
-    if (!reports.empty()) {
-        this->context.control.onPromptParts(std::move(reports));
+    this->announce(std::move(reports));
+}
+
+bool RequestForwarder::isFromBeginning(const Attempt &attempt) const
+{
+    return attempt.eventsBefore == 0 && !this->request.caller.lastEventId;
+}
+
+void RequestForwarder::onAnswerBegun(Attempt &attempt)
+{
+    if (!std::exchange(attempt.isBeyondBeginning, true)) {
+        this->announce(this->context.promptGuard.onBegun(this->request.sharedPromptParts));
     }
 }
 
-void RequestForwarder::onPromptAnswered(Attempt &attempt)
+void RequestForwarder::onAnswerComplete(Attempt &attempt)
 {
-    if (std::exchange(attempt.hasSurvivedPrompt, true)) {
-        return;
+    if (this->isFromBeginning(attempt)) {
+        this->announce(this->context.promptGuard.onAnswered(this->request.sharedPromptParts));
+    } else {
+        this->onAnswerBegun(attempt);
     }
-    std::vector<PromptPartReport> reports =
-        this->context.promptQuarantine.onAnswered(this->request.sharedPromptParts);
+}
+
+void RequestForwarder::announce(std::vector<PromptPartReport> reports)
+{
     if (!reports.empty()) {
         this->context.control.onPromptParts(std::move(reports));
     }
@@ -673,7 +694,7 @@
 bool RequestForwarder::isQuarantined() const
 {
     return this->context.quarantine.isQuarantined(this->request.fingerprint)
-        || this->context.promptQuarantine.findQuarantined(this->request.sharedPromptParts);
+        || this->context.promptGuard.findQuarantined(this->request.sharedPromptParts);
 }
 
 void RequestForwarder::reportAnswer(Attempt &attempt, AnswerOutcome outcome, Duration took)
@@ -804,8 +825,8 @@
     StreamRateSample rateSample;
     // Called before each read: records the stream's rate and returns the timeout of the read.
     const auto beforeRead = [&] {
-        if (this->stream.events() - attempt.eventsBefore >= kEventsOfSoundPrompt) {
-            this->onPromptAnswered(attempt);
+        if (this->stream.events() - attempt.eventsBefore >= kEventsBeyondBeginning) {
+            this->onAnswerBegun(attempt);
         }
         if (attempt.hasFirstEvent) {
             this->recordStreamRate(&rateSample);
@@ -838,7 +859,7 @@
         return AttemptOutcome::Finished;
     }
     if (outcome == StreamOutcome::Complete) {
-        this->onPromptAnswered(attempt);
+        this->onAnswerComplete(attempt);
         attempt.lease.setResult(AttemptResult::Good);
         this->reportAnswer(attempt, AnswerOutcome::Good, firstEventAt - attempt.sentAt);
         this->recordAnswerSize();
@@ -854,7 +875,9 @@
     this->lastError = outOfTime ? "out of time" : "the stream broke off";
     if (!outOfTime) {
         attempt.lease.setResult(AttemptResult::Failed);
-        this->checkCrash(attempt, true);
+        this->checkCrash(attempt,
+                         attempt.isBeyondBeginning ? PromptGuard::CrashedAt::Later
+                                                   : PromptGuard::CrashedAt::Beginning);
     }
     this->reportAnswer(attempt, outOfTime ? AnswerOutcome::Bad : AnswerOutcome::ConnectionLost,
                        this->context.clock.now() - attempt.sentAt);
@@ -905,20 +928,21 @@
     absl::StatusOr<std::string> body =
         answer.readAll(this->timeLeft(), kMaxBufferedAnswerBytes, &this->exchange.answerMemory());
     if (!body.ok()) {
-        return this->onAttemptFailed(attempt, body.status());
+        return this->onAttemptFailed(attempt, body.status(), PromptGuard::CrashedAt::Beginning);
     }
     const UpstreamRecord &upstream = attempt.lease.upstream();
     if (answer.endsWithConnection() && this->hasEndedWith(upstream)) {
         return this->onAttemptFailed(attempt,
                                      failure(absl::StatusCode::kUnavailable, "read body",
                                              upstream.endpoint.text(),
-                                             "the connection ended with the upstream"));
+                                             "the connection ended with the upstream"),
+                                     PromptGuard::CrashedAt::Beginning);
     }
     const bool failed = answer.status() >= status::kInternalError;
     attempt.lease.onFirstByte();
     attempt.lease.setResult(failed ? AttemptResult::Failed : AttemptResult::Good);
     if (!failed) {
-        this->onPromptAnswered(attempt);
+        this->onAnswerComplete(attempt);
     }
     const Duration took = this->context.clock.now() - attempt.sentAt;
     this->reportAnswer(attempt, failed ? AnswerOutcome::Bad : AnswerOutcome::Good, took);
--- a/kernel/src/relay/RequestForwarder.h
+++ b/kernel/src/relay/RequestForwarder.h
@@ -54,9 +54,9 @@
         bool isNewVersion = false;
         bool isRolloutActive = false; ///< A roll-out of the service is in progress.
         /// Of the request's shared prompt parts when it was sent.
-        PromptQuarantine::PromptChains promptChains;
+        PromptGuard::Chains promptChains;
         std::int64_t eventsBefore = 0;  ///< Events that earlier attempts have relayed.
-        bool hasSurvivedPrompt = false; ///< The upstream has answered beyond the beginning.
+        bool isBeyondBeginning = false; ///< Of its answer.
         bool isSent = false;            ///< Something may have reached the upstream.
         bool hasFirstEvent = false;     ///< Of a stream.
         bool isReported = false;        ///< Its answer has been counted, or need not be.
@@ -101,7 +101,8 @@
     bool tryEscalate(const Attempt &attempt, const UpstreamHeaders &upstreamHeaders);
     AttemptOutcome relayStream(Attempt &attempt, HttpStream &answer);
     AttemptOutcome relayBuffered(Attempt &attempt, HttpStream &answer);
-    AttemptOutcome onAttemptFailed(Attempt &attempt, const absl::Status &status);
+    AttemptOutcome onAttemptFailed(Attempt &attempt, const absl::Status &status,
+                                   PromptGuard::CrashedAt crashedAt);
     /// Reports the answer's length to the cascade.
     void recordAnswerSize();
     /// Reports a stream's event rate to the cascade once the interval contains enough events.
@@ -118,10 +119,9 @@
     /// Of an answer that has not come yet.
     AnswerSpeed speedSoFar(const Attempt &attempt) const;
     void reportCrash(const UpstreamRecord &upstream);
-    /// Reports the upstream's crash, if it has crashed, to the quarantine of requests, and to that
-    /// of prompt parts unless the prompt has been survived; `hasBegun`: the answer had begun.
-    /// Blocks for the time of some connection attempts.
-    void checkCrash(const Attempt &attempt, bool hasBegun);
+    /// Reports the upstream's crash, if it has crashed, to the quarantines of requests and of
+    /// prompt parts. Blocks for the time of some connection attempts.
+    void checkCrash(const Attempt &attempt, PromptGuard::CrashedAt crashedAt);
     bool hasCrashed(const UpstreamRecord &upstream);
     /// Whether a stream that has ended with its connection, between two events, is incomplete: it
     /// has no event, or its upstream has crashed. May block as hasEndedWith().
@@ -129,8 +129,14 @@
     /// Whether an answer that has ended with its connection was cut because the upstream has
     /// crashed. Blocks for the time of a connection attempt.
     bool hasEndedWith(const UpstreamRecord &upstream);
-    /// Clears the request's prompt parts of suspicion.
-    void onPromptAnswered(Attempt &attempt);
+    /// Whether the whole answer comes from this attempt: none of it was relayed before.
+    bool isFromBeginning(const Attempt &attempt) const;
+    /// The answer has got beyond its beginning.
+    void onAnswerBegun(Attempt &attempt);
+    /// The answer has come to its end.
+    void onAnswerComplete(Attempt &attempt);
+    /// Tells the other instances.
+    void announce(std::vector<PromptPartReport> reports);
     /// Ends the wait for a slot, the connection attempt or the response under way.
     void interrupt();
     /// Whether the request itself, or a part of its prompt, crashes the upstreams that run it.
--- a/kernel/src/relay/RouteExplainer.cpp
+++ b/kernel/src/relay/RouteExplainer.cpp
@@ -209,7 +209,7 @@
     for (std::size_t index = 0; index + 1 < request.caller.prompt.size(); ++index) {
         sharedParts.push_back(request.caller.prompt[index].id);
     }
-    if (context.promptQuarantine.findQuarantined(sharedParts)) {
+    if (context.promptGuard.findQuarantined(sharedParts)) {
         answer["answer"] = "503: a part of this prompt crashes the upstreams that answer it";
         return respond(status::kOk, answer);
     }
--- a/kernel/src/relay/SiteServer.cpp
+++ b/kernel/src/relay/SiteServer.cpp
@@ -125,7 +125,7 @@
               {[this] { this->gossip.onLocalChange(); }, [this] { this->gossip.onLoadReported(); },
                [this](const PromptCacheUpdate &update) { this->gossip.onPromptPrefilled(update); }})
         , quarantine({kCrashesToQuarantine, kCrashRetention}, clock)
-        , promptQuarantine({.retention = kCrashRetention}, clock)
+        , promptGuard(kCrashRetention, clock)
         , cascade({}, clock)
         , initialQuota({}, hash64(control.incarnation(), 4))
         , context{control,
@@ -137,7 +137,7 @@
                   this->client,
                   this->scheduler,
                   this->quarantine,
-                  this->promptQuarantine,
+                  this->promptGuard,
                   this->slowAnswerDetector,
                   this->cascade,
                   this->prefillTimes,
@@ -173,7 +173,7 @@
                 [this, fingerprint, upstream] { this->quarantine.onCrash(fingerprint, upstream); });
         };
         listener.promptPart = [this](const PromptPartReport &report) {
-            this->runtime.post([this, report] { this->promptQuarantine.onReport(report); });
+            this->runtime.post([this, report] { this->promptGuard.onReport(report); });
         };
         control.setListener(std::move(listener));
     }
@@ -205,7 +205,7 @@
     /// were sent. Later requests are rejected at admission.
     void withdrawQuarantined()
     {
-        const std::optional<TimePoint> latest = this->promptQuarantine.latestQuarantine();
+        const std::optional<TimePoint> latest = this->promptGuard.latestQuarantine();
         if (!latest || (this->latestQuarantine && *latest <= *this->latestQuarantine)) {
             return;
         }
@@ -325,7 +325,7 @@
     WarmupLimiter warmup;
     UpstreamScheduler scheduler;
     RequestQuarantine quarantine;
-    PromptQuarantine promptQuarantine;
+    PromptGuard promptGuard;
     SlowAnswerDetector slowAnswerDetector;
     AnswerCascade cascade;
     PrefillTimeEstimator prefillTimes;
--- a/kernel/src/site/PromptPartGossip.cpp
+++ b/kernel/src/site/PromptPartGossip.cpp
@@ -15,26 +15,46 @@
 // Names in the Crash kind; those of requests begin with a hexadecimal digest.
 constexpr char kCrashPrefix[] = "part-crash:";
 constexpr char kAnswerPrefix[] = "part-answer:";
+/// Before the part, when the basis is PromptEvidence::WholeAnswer. No part has a colon. Instances
+/// of a release that does not know it take the whole for the name of a part, which no prompt has.
+constexpr char kWholeAnswerPrefix[] = "whole:";
+constexpr char kOnlySuspect[] = "only suspect"; ///< Payload of a report that is so marked.
+
+std::string partName(const PromptPartReport &report)
+{
+    const bool isWhole = report.basis == PromptEvidence::WholeAnswer;
+    return absl::StrCat(isWhole ? kWholeAnswerPrefix : "", report.part);
+}
 
 RumorId chainId(const PromptPartReport &report)
 {
     return {RumorKind::Crash,
-            absl::StrCat(report.isCleared ? kAnswerPrefix : kCrashPrefix, report.part)};
+            absl::StrCat(report.isCleared ? kAnswerPrefix : kCrashPrefix, partName(report))};
+}
+
+void setPart(PromptPartReport &report, std::string_view name)
+{
+    const bool isWhole =
+        absl::StartsWith(absl::string_view(name.data(), name.size()), kWholeAnswerPrefix);
+    report.basis = isWhole ? PromptEvidence::WholeAnswer : PromptEvidence::Beginning;
+    report.part = name.substr(isWhole ? sizeof(kWholeAnswerPrefix) - 1 : 0);
 }
 
 PromptPartReport readReport(const Rumor &rumor)
 {
     PromptPartReport report;
+    report.isOnlySuspect = rumor.payload == kOnlySuspect;
     if (rumor.id.kind == RumorKind::Quarantine) {
-        report.part = rumor.id.name;
+        setPart(report, rumor.id.name);
         report.evidence = static_cast<int>(rumor.version / 2);
         report.isCleared = rumor.version % 2 == 1;
         report.isQuarantined = true;
         return report;
     }
     report.isCleared = absl::StartsWith(rumor.id.name, kAnswerPrefix);
-    report.part =
-        rumor.id.name.substr((report.isCleared ? sizeof(kAnswerPrefix) : sizeof(kCrashPrefix)) - 1);
+    setPart(report,
+            std::string_view(rumor.id.name)
+                .substr((report.isCleared ? sizeof(kAnswerPrefix) : sizeof(kCrashPrefix)) - 1));
     report.evidence = static_cast<int>(rumor.version);
     return report;
 }
@@ -76,9 +96,10 @@
             this->gossip.tell(rumor);
         }
     };
-    tell({chainId(report), evidence, ""});
+    const std::string payload = report.isOnlySuspect ? kOnlySuspect : "";
+    tell({chainId(report), evidence, payload});
     if (report.isQuarantined) {
-        const RumorId id{RumorKind::Quarantine, report.part};
+        const RumorId id{RumorKind::Quarantine, partName(report)};
         const auto found = this->known.find(id);
         std::uint64_t version = 2 * evidence;
         if (found != this->known.end()) {
@@ -86,7 +107,7 @@
             const std::uint64_t latest = found->second.version;
             version = std::max(version, latest + latest % 2);
         }
-        tell({id, version + (report.isCleared ? 1 : 0), ""});
+        tell({id, version + (report.isCleared ? 1 : 0), payload});
     }
 }
 
--- a/kernel/tests/PromptPartGossipTest.cpp
+++ b/kernel/tests/PromptPartGossipTest.cpp
@@ -51,6 +51,32 @@
 
 } // namespace
 
+// Guards against reports that instances take for another kind of evidence than they are.
+TEST_CASE("an instance that starts learns on what evidence a part is quarantined")
+{
+    ManualClock clock;
+    Instance old("old", clock);
+    old.parts.announce({"deadly", 6, false, true, PromptEvidence::WholeAnswer, true});
+    old.parts.announce({"deadly", 8, false, true, PromptEvidence::Beginning, false});
+    Instance starting("starting", clock);
+    for (const RumorKind kind : {RumorKind::Quarantine, RumorKind::Crash}) {
+        old.gossip.store().forEach(
+            kind, [&](const Rumor &rumor) { starting.gossip.store().merge(rumor); });
+    }
+    int whole = 0;
+    int beginning = 0;
+    starting.parts.processRumors([&](const PromptPartReport &report) {
+        CHECK(report.part == "deadly");
+        CHECK_FALSE(report.isCleared);
+        const bool isWhole = report.basis == PromptEvidence::WholeAnswer;
+        CHECK(report.evidence == (isWhole ? 6 : 8));
+        CHECK(report.isOnlySuspect == isWhole);
+        (isWhole ? whole : beginning) += 1;
+    });
+    CHECK(whole == 2); // One rumor is forgotten, the other is repaired.
+    CHECK(beginning == 2);
+}
+
 // Guards against a second quarantine that instances which start during it never learn of.
 TEST_CASE("an instance that starts learns of each quarantine of a part, and of its end")
 {
--- /dev/null
+++ b/libs/decision/src/PromptGuard.cpp
@@ -0,0 +1,76 @@
+// Events of an answer refute that its prompt crashes upstreams at the beginning, and say nothing of
+// what comes later.
+#include <decision/PromptGuard.h>
+
+#include <algorithm>
+
+namespace basilnotch {
+
+namespace {
+
+/// Time for whole answers elsewhere to clear a part: about one of them on a route with some
+/// traffic.
+constexpr Duration kWholeAnswerSettleTime = std::chrono::milliseconds(1500);
+
+} // namespace
+
+PromptGuard::PromptGuard(Duration retention, const Clock &clock)
+    : beginning({.retention = retention}, clock)
+    , wholeAnswer({.basis = PromptEvidence::WholeAnswer,
+                   .settleTime = kWholeAnswerSettleTime,
+                   .retention = retention},
+                  clock)
+{ }
+
+PromptGuard::Chains PromptGuard::chains(std::span<const std::string> parts) const
+{
+    return {this->beginning.chains(parts), this->wholeAnswer.chains(parts)};
+}
+
+std::vector<PromptPartReport> PromptGuard::onCrash(std::span<const std::string> parts,
+                                                   const Chains &sent, CrashedAt crashedAt,
+                                                   std::string_view request)
+{
+    std::vector<PromptPartReport> reports;
+    if (crashedAt != CrashedAt::Later) {
+        reports = this->beginning.onCrash(parts, sent.beginning, crashedAt == CrashedAt::Beginning);
+    }
+    if (crashedAt != CrashedAt::Waiting) {
+        std::vector<PromptPartReport> more =
+            this->wholeAnswer.onCrash(parts, sent.wholeAnswer, true, request);
+        std::move(more.begin(), more.end(), std::back_inserter(reports));
+    }
+    return reports;
+}
+
+std::vector<PromptPartReport> PromptGuard::onBegun(std::span<const std::string> parts)
+{
+    return this->beginning.onAnswered(parts);
+}
+
+std::vector<PromptPartReport> PromptGuard::onAnswered(std::span<const std::string> parts)
+{
+    std::vector<PromptPartReport> reports = this->beginning.onAnswered(parts);
+    std::vector<PromptPartReport> more = this->wholeAnswer.onAnswered(parts);
+    std::move(more.begin(), more.end(), std::back_inserter(reports));
+    return reports;
+}
+
+void PromptGuard::onReport(const PromptPartReport &report)
+{
+    (report.basis == PromptEvidence::Beginning ? this->beginning : this->wholeAnswer)
+        .onReport(report);
+}
+
+std::optional<std::string> PromptGuard::findQuarantined(std::span<const std::string> parts) const
+{
+    const std::optional<std::string> found = this->beginning.findQuarantined(parts);
+    return found ? found : this->wholeAnswer.findQuarantined(parts);
+}
+
+std::optional<TimePoint> PromptGuard::latestQuarantine() const
+{
+    return std::max(this->beginning.latestQuarantine(), this->wholeAnswer.latestQuarantine());
+}
+
+} // namespace basilnotch
--- a/libs/decision/src/PromptQuarantine.cpp
+++ b/libs/decision/src/PromptQuarantine.cpp
@@ -8,6 +8,11 @@
 
 namespace basilnotch {
 
+std::string_view promptEvidenceName(PromptEvidence basis)
+{
+    return basis == PromptEvidence::Beginning ? "beginning" : "whole answer";
+}
+
 PromptQuarantine::PromptQuarantine(PromptQuarantineOptions options, const Clock &clock)
     : options(options)
     , clock(clock)
@@ -63,40 +68,83 @@
     return this->suspects[part];
 }
 
-void PromptQuarantine::setEvidence(const std::string &part, Suspect &suspect, int evidence)
+void PromptQuarantine::setEvidence(Suspect &suspect, int evidence, bool isOnlySuspect)
 {
     suspect.evidence = evidence;
     suspect.lastCrashAt = this->clock.now();
     const bool isEnough = evidence - suspect.cleared >= this->options.evidenceToQuarantine;
     if (isEnough && !suspect.quarantinedFrom) {
-        const bool isOnlySuspect = !this->isTrusted(part) && !this->answeredAt.empty();
         suspect.quarantinedFrom =
             this->clock.now() + (isOnlySuspect ? Duration::zero() : this->options.settleTime);
     }
 }
 
+bool PromptQuarantine::isBlamed(std::span<const std::string> parts, std::size_t index) const
+{
+    if (!this->isTrusted(parts[index])) {
+        return true;
+    }
+    return this->options.basis == PromptEvidence::Beginning
+        && std::all_of(parts.begin(), parts.end(),
+                       [this](const auto &part) { return this->isTrusted(part); });
+}
+
+bool PromptQuarantine::isOnlySuspect(std::span<const std::string> parts, std::size_t index) const
+{
+    if (this->options.basis == PromptEvidence::Beginning) {
+        return !this->isTrusted(parts[index]) && !this->answeredAt.empty();
+    }
+    const auto trusted = std::count_if(parts.begin(), parts.end(),
+                                       [this](const auto &part) { return this->isTrusted(part); });
+    return trusted > 0 && static_cast<std::size_t>(trusted) + 1 == parts.size();
+}
+
+bool PromptQuarantine::countRequest(Suspect &suspect, std::string_view request) const
+{
+    if (this->options.basis == PromptEvidence::Beginning) {
+        return true;
+    }
+    const std::uint64_t hash = hash64(request);
+    if (std::find(suspect.requests.begin(), suspect.requests.end(), hash)
+        != suspect.requests.end()) {
+        return false;
+    }
+    if (suspect.requests.size() >= kMaxRequests) {
+        suspect.requests.erase(suspect.requests.begin());
+    }
+    suspect.requests.push_back(hash);
+    return true;
+}
+
 std::vector<PromptPartReport> PromptQuarantine::onCrash(std::span<const std::string> parts,
                                                         const PromptChains &sentChains,
-                                                        bool hasBegun)
+                                                        bool hasBegun, std::string_view request)
 {
     const int added =
         hasBegun ? this->options.evidenceOfBegunAnswer : this->options.evidenceOfNoAnswer;
-    const bool allTrusted = std::all_of(parts.begin(), parts.end(),
-                                        [this](const auto &part) { return this->isTrusted(part); });
     std::vector<PromptPartReport> reports;
     for (std::size_t index = 0; index < parts.size(); ++index) {
-        if (!allTrusted && this->isTrusted(parts[index])) {
+        if (!this->isBlamed(parts, index)) {
             continue;
         }
         Suspect &suspect = this->suspectFor(parts[index]);
+        if (!this->countRequest(suspect, request)) {
+            continue;
+        }
         const bool isSameMoment =
             this->clock.now() - suspect.lastCrashAt < this->options.sameMoment;
         const int evidence =
             (isSameMoment ? sentChains[index] : std::max(sentChains[index], suspect.evidence))
             + added;
         if (evidence > suspect.evidence) {
-            this->setEvidence(parts[index], suspect, evidence);
-            reports.push_back({parts[index], evidence, false, suspect.quarantinedFrom.has_value()});
+            const bool isOnlySuspect = this->isOnlySuspect(parts, index);
+            this->setEvidence(suspect, evidence, isOnlySuspect);
+            PromptPartReport report{parts[index], evidence};
+            report.isQuarantined = suspect.quarantinedFrom.has_value();
+            report.basis = this->options.basis;
+            report.isOnlySuspect =
+                isOnlySuspect && this->options.basis == PromptEvidence::WholeAnswer;
+            reports.push_back(std::move(report));
         }
     }
     return reports;
@@ -118,7 +166,8 @@
         const auto found = this->suspects.find(part);
         if (found != this->suspects.end() && found->second.cleared < found->second.evidence) {
             Suspect &suspect = found->second;
-            reports.push_back({part, suspect.evidence, true, suspect.quarantinedFrom.has_value()});
+            reports.push_back({part, suspect.evidence, true, suspect.quarantinedFrom.has_value(),
+                               this->options.basis});
             suspect.cleared = suspect.evidence;
             suspect.quarantinedFrom.reset();
         }
@@ -139,7 +188,10 @@
             suspect.quarantinedFrom.reset();
         }
     } else if (report.evidence > suspect.evidence) {
-        this->setEvidence(report.part, suspect, report.evidence);
+        const bool isOnlySuspect = this->options.basis == PromptEvidence::Beginning
+            ? !this->answeredAt.empty()
+            : report.isOnlySuspect;
+        this->setEvidence(suspect, report.evidence, isOnlySuspect && !this->isTrusted(report.part));
     }
 }
 
