Slow readers: a pause may be four times the longest before it counts as the end of reading

Traced with the checks of DeliveryWatch printed: the steady caller was cut 2.5 s after its latest move, its longest pause so far was 1 s. Its receive buffer grows while it reads, and with it the time until much of it is free.

The factor is 4 instead of 2.

--- a/libs/runtime/src/HttpServer.cpp
+++ b/libs/runtime/src/HttpServer.cpp
@@ -73,8 +73,8 @@
 /// A caller that has not read for so long yields its connection.
 constexpr Duration kUnread = seconds(1);
 /// A caller that pauses for longer than this multiple of its longest pause so far has stopped
-/// reading.
-constexpr int kUsualPauseFactor = 2;
+/// reading. Pauses get longer while the receive buffer of a slow reader grows.
+constexpr int kUsualPauseFactor = 4;
 /// Memory for answers is short at most for so long before steady readers are cut, too.
 constexpr Duration kMaxSlowReading = seconds(1);
 constexpr Duration kMemoryPollInterval = milliseconds(10);
