--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -639,7 +639,7 @@
     const std::string identity =
         absl::StrCat(this->request.fingerprint, prompt.empty() ? "" : prompt.back().id);
     if (droppedCrashes > 0 && crashedAt == PromptGuard::CrashedAt::Waiting) {
-        --droppedCrashes; // Crashes that are found together: the one that tells most stands first.
+        --droppedCrashes; // Replaces the crash of a request that may have been waiting.
         crashedAt = PromptGuard::CrashedAt::Beginning;
     }
     std::vector<PromptPartReport> reports =
--- a/libs/decision/src/PromptGuard.cpp
+++ b/libs/decision/src/PromptGuard.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-/// Time for whole answers elsewhere to clear a part: about one of them on a route with some
-/// traffic.
+/// Time for whole answers, here and elsewhere, to clear a part before it is quarantined.
 constexpr Duration kWholeAnswerSettleTime = std::chrono::milliseconds(1500);
 
 } // namespace
--- a/libs/runtime/src/DeliveryProgress.h
+++ b/libs/runtime/src/DeliveryProgress.h
@@ -10,6 +10,9 @@
 
 namespace basilnotch {
 
+/// Longer than a few retransmissions, shorter than what a caller waits for a first token.
+constexpr Duration kPeerGoneTimeout = std::chrono::seconds(3);
+
 /// What the kernel knows of a connection's outgoing bytes.
 struct SendQueueState
 {
@@ -41,7 +44,4 @@
     std::optional<TimePoint> unansweredSince;
 };
 
-/// Longer than a few retransmissions, shorter than what a caller waits for a first token.
-constexpr Duration kPeerGoneTimeout = std::chrono::seconds(3);
-
 } // namespace basilnotch
