Broken answers: one crash at a time is evidence against prompt parts

Cause: each broken answer is reported to all instances for each part of its prompt that is not known to be sound. Upstreams that crash together break off many answers, and none of these is evidence, as one prompt has not crashed them all.

An instance now counts the answers of one upstream, four requests at most, from the first crash to the next 200 ms without one, a second at most. The new test asks for that bound; it was not run on the code before, whose interface differs.

--- a/kernel/src/relay/RequestForwarder.cpp
+++ b/kernel/src/relay/RequestForwarder.cpp
@@ -643,10 +643,11 @@
         crashedAt = PromptGuard::CrashedAt::Beginning;
     }
     std::vector<PromptPartReport> reports =
-        guard.onCrash(parts, attempt.promptChains, crashedAt, identity);
+        guard.onCrash(parts, attempt.promptChains, crashedAt, identity, upstream.incarnation());
     for (; droppedCrashes > 0; --droppedCrashes) {
         std::vector<PromptPartReport> more =
-            guard.onCrash(parts, guard.chains(parts), PromptGuard::CrashedAt::Beginning, identity);
+            guard.onCrash(parts, guard.chains(parts), PromptGuard::CrashedAt::Beginning, identity,
+                          upstream.incarnation());
         std::move(more.begin(), more.end(), std::back_inserter(reports));
     }
     for (const PromptPartReport &report : reports) {
--- a/libs/decision/include/decision/PromptGuard.h
+++ b/libs/decision/include/decision/PromptGuard.h
@@ -37,7 +37,8 @@
     /// `request`: the same for repeats of one request. Returns what has changed, for the other
     /// instances.
     std::vector<PromptPartReport> onCrash(std::span<const std::string> parts, const Chains &sent,
-                                          CrashedAt crashedAt, std::string_view request);
+                                          CrashedAt crashedAt, std::string_view request,
+                                          std::string_view upstream);
     /// An answer has got beyond its beginning.
     std::vector<PromptPartReport> onBegun(std::span<const std::string> parts);
     /// One upstream has given a whole answer, not just the rest of one.
@@ -50,8 +51,17 @@
     std::optional<TimePoint> latestQuarantine() const;
 
 private:
+    /// Whether a crash of `upstream` may be due to a prompt. Upstreams that crash together break
+    /// off too many answers to report the parts of all.
+    bool isWholeAnswerEvidence(std::string_view upstream);
+
+    const Clock &clock;
     PromptQuarantine beginning;
     PromptQuarantine wholeAnswer;
+    TimePoint lastCrashAt{};
+    TimePoint momentBeganAt{};  ///< Of the crash that began the present moment.
+    std::string momentUpstream; ///< Which crashed then; others count from the next moment on.
+    int momentRequests = 0;     ///< Invariant: at most kMaxRequestsPerMoment.
 };
 
 } // namespace basilnotch
--- a/libs/decision/tests/PromptGuardTest.cpp
+++ b/libs/decision/tests/PromptGuardTest.cpp
@@ -27,8 +27,8 @@
     std::vector<PromptPartReport> breakOff(const Parts &parts, const std::string &request)
     {
         this->guard.onBegun(parts);
-        const auto reports =
-            this->guard.onCrash(parts, this->guard.chains(parts), CrashedAt::Later, request);
+        const auto reports = this->guard.onCrash(parts, this->guard.chains(parts), CrashedAt::Later,
+                                                 request, "u" + request);
         this->clock.advance(kApart);
         return reports;
     }
@@ -59,7 +59,7 @@
     GuardFixture fixture;
     fixture.guard.onAnswered(kSound);
     fixture.breakOff(kDeadly, "0");
-    fixture.guard.onCrash(kDeadly, fixture.guard.chains(kDeadly), CrashedAt::Beginning, "1");
+    fixture.guard.onCrash(kDeadly, fixture.guard.chains(kDeadly), CrashedAt::Beginning, "1", "u1");
     fixture.clock.advance(kApart);
     CHECK_FALSE(fixture.isQuarantined(kDeadly));
     fixture.breakOff(kDeadly, "2");
@@ -127,7 +127,7 @@
     std::vector<PromptPartReport> reports;
     for (int crash = 0; crash < 3; ++crash) {
         for (const PromptPartReport &report : started.onCrash(
-                 single, started.chains(single), CrashedAt::Later, std::to_string(crash))) {
+                 single, started.chains(single), CrashedAt::Later, std::to_string(crash), "u")) {
             old.onReport(report);
         }
         clock.advance(kApart);
@@ -150,7 +150,7 @@
     const Parts single{"system"};
     const PromptGuard::Chains sent = fixture.guard.chains(single);
     for (int request = 0; request < 40; ++request) {
-        fixture.guard.onCrash(single, sent, CrashedAt::Later, std::to_string(request));
+        fixture.guard.onCrash(single, sent, CrashedAt::Later, std::to_string(request), "u");
     }
     fixture.clock.advance(seconds(10));
     CHECK_FALSE(fixture.isQuarantined(single));
@@ -166,8 +166,9 @@
     }
     int request = 0;
     for (PromptGuard &crashing : instances) {
-        for (const PromptPartReport &report : crashing.onCrash(
-                 kDeadly, crashing.chains(kDeadly), CrashedAt::Later, std::to_string(request++))) {
+        for (const PromptPartReport &report :
+             crashing.onCrash(kDeadly, crashing.chains(kDeadly), CrashedAt::Later,
+                              std::to_string(request++), "u")) {
             for (PromptGuard &other : instances) {
                 other.onReport(report);
             }
@@ -180,3 +181,20 @@
         CHECK_FALSE(instance.findQuarantined(kSound));
     }
 }
+
+// Guards against a flood of reports between the instances where many upstreams crash at once.
+TEST_CASE("upstreams that crash at the same moment make few reports of broken answers")
+{
+    GuardFixture fixture;
+    std::size_t reports = 0;
+    for (int request = 0; request < 400; ++request) {
+        const Parts own{"turn" + std::to_string(request)};
+        reports += fixture.guard
+                       .onCrash(own, fixture.guard.chains(own), CrashedAt::Later,
+                                std::to_string(request), "u" + std::to_string(request % 40))
+                       .size();
+        fixture.clock.advance(milliseconds(2));
+    }
+    CHECK(reports > 0);
+    CHECK(reports <= 8);
+}
